Bound open requests by answer speed; retry budget; no short time-outs

Cause: pressure fed by answers alone stayed high once requests were refused, and retries after time-outs and full queues fed jams. Left: good builds sent back, refusals after bursts.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -26,7 +26,7 @@
 ERROR_MARGIN = 0.05  # DESIGN: breaker at five points over the earlier build's error share
 POINTS_LEAST = 4  # score points before halves can be compared
 CLASS_LEAST = 6  # trial outcomes of each class before going on: a class failing a third shows 9 times in 10
-SURE = 0.005  # a breaker needs evidence this unlikely by chance: one spike or one error is no verdict
+SURE = 0.001  # a breaker needs evidence this unlikely by chance: one spike or one error is no verdict
 LEVEL_LEAST = 20  # latencies behind a verdict on the level
 LEVEL_BACK = math.log(1.3)  # slower than the earlier build by surely more than this: back
 POOL_BINS = 40  # judged evidence reaches this far back
@@ -35,10 +35,11 @@
 FAIR = 1.1  # a trial server gets at most this multiple of an even share, else load looks like a bad build
 COLD_PART = 0.85  # part of the cold budget used by all agents together at full load
 HOLD_PART = 0.25  # a request that cannot be sent is held for this part of its aim, then refused
-PATIENCE = 0.65  # a repeatable request's first attempt may take this part of the aim
 CROSS = 1.3  # a server across zones must be this much better
-CALM = 0.6  # mean latency over aim at which the least worth is refused; the most at CALM + RAMP
-RAMP = 0.6
+QUICK = 0.5  # an answer within this part of the aim lets the bound on open requests grow; past the aim it shrinks
+SHRINK, SHRINK_MS = 0.9, 100.0  # how much, and how often at most, as one jam brings many late answers
+LEAST_PART = 0.5  # part of the bound open to the least worth; the most worth may fill it
+RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many may be saved: no retry storms
 REFUSED_MS = 400.0  # come-back time given with refusals where clients hear it
 DEAD_OK = 0.4  # health below which a server is left out while others can be had
 HEAL = 0.04  # health regained a bin, so that a failing server is tried again within seconds
@@ -188,7 +189,8 @@
         self.by_tenant = [Window(1000.0) for _ in settings.tenants]
         self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
         self.usual = [c.aim_ms / 4 for c in settings.classes]  # usual latency by class
-        self.pressure, self.next_bin, self.next_tick, self.next_watch = 0.0, 0.0, 0.0, math.inf
+        self.limit, self.shrunk, self.retries = 1e3, 0.0, RETRY_MOST
+        self.next_bin, self.next_watch = 0.0, math.inf
         self.news = it.StageNews(0, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, 0.0)
         self.baseline: dict[tuple[int, int], deque[float]] = {}
         self.points: deque[float] = deque(maxlen=POOL_BINS)
@@ -280,8 +282,14 @@
         good = status is it.Status.OK
         server.ok += (good - server.ok) * (0.5 if status is it.Status.CONNECT_FAILED else 0.2)
         aim = self.s.classes[cls].aim_ms
+        if good and latency < QUICK * aim:
+            if len(self.out_there) > LEAST_PART * self.limit:
+                self.limit += 0.2
+        elif latency > aim or status is it.Status.FULL:
+            if self.now - self.shrunk > SHRINK_MS:
+                self.shrunk = self.now
+                self.limit = max(min(self.limit, len(self.out_there) + 1) * SHRINK, len(self.servers))
         if good or status is it.Status.TIMEOUT:
-            self.pressure += (min(latency / aim, 1.5) - self.pressure) * 0.05
             ratio = latency / self.usual[cls]
             server.slow += (min(ratio, 8.0) - server.slow) * 0.1
             self.usual[cls] += (latency - self.usual[cls]) * 0.02 if good else 0.0
@@ -505,15 +513,13 @@
         return self.by_tenant[request.tenant].count(self.now) > quota * 1.1
 
     def _unwanted(self, request: it.Request) -> bool:
-        """Under pressure refuse least worth for its work first, over-share work before any."""
-        if self.pressure < CALM:
-            return False
+        """Bound open requests by how quickly answers come; the least worth for its work goes first."""
         worth = [c.worth / (1.0 if self.s.worth_by_work else u)
                  for c, u in zip(self.s.classes, self.usual, strict=True)]
         rank = worth[request.cls] / max(worth)
         if self._over_share(request):
             rank *= self.s.over_share_worth
-        return self.rng.random() < (self.pressure - CALM - RAMP * rank) / 0.3
+        return len(self.out_there) >= self.limit * (LEAST_PART + (1 - LEAST_PART) * rank)
 
     # --- request life ---
     def _request(self, request: it.Request) -> None:
@@ -544,8 +550,7 @@
                 self.held.setdefault(job.request.request, patience)
             return
         self.held.pop(job.request.request, None)
-        if cls.effect is not it.Effect.UNSAFE and not job.attempts and self.pressure < CALM:
-            until = min(until, self.now + PATIENCE * cls.aim_ms)
+        self.retries = min(self.retries + RETRY_PART, RETRY_MOST) if not job.attempts else self.retries - 1
         attempt = Attempt(server, job.cls, self.now)
         attempt.cold = self._age(server) < self.s.rules.cold_ms
         self.out_there[job.request.request, len(job.attempts)] = attempt
@@ -553,7 +558,8 @@
         server.sent.add(self.now)
         job.attempts.append(attempt)
         if self._cap(attempt.build) is not None:
-            self.tries.setdefault((attempt.build, job.cls), Window(self.roll.window_ms + 2 * self.s.tick_ms)).add(self.now)
+            span = self.roll.window_ms + 2 * self.s.tick_ms
+            self.tries.setdefault((attempt.build, job.cls), Window(span)).add(self.now)
         self.out.append(it.Send(job.request.request, server.id, until))
 
     def _outcome(self, event: it.Outcome) -> None:
@@ -573,7 +579,7 @@
             self._drop(event.request)
         elif not any(a.live for a in job.attempts):
             again = [s for s in self.servers.values() if s.ready and self.may_send(job, s)]
-            if again and self.pressure < CALM + RAMP:
+            if again and self.retries >= 1:
                 self._send(job)
             else:
                 self._give_up(job)
