Per-server bounds on open work; level by machine kind; trial fill below an even share

Cause: one slow or cold server shrank the bound for all, and a filled cap on one machine looked like a slow build.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -28,16 +28,17 @@
 CLASS_LEAST = 6  # trial outcomes of each class before going on: a class failing a third shows 9 times in 10
 SURE = 0.001  # a breaker needs evidence this unlikely by chance: one spike or one error is no verdict
 LEVEL_LEAST = 20  # latencies behind a verdict on the level
-LEVEL_BACK = math.log(1.3)  # slower than the earlier build by surely more than this: back
+LEVEL_BACK = math.log(1.5)  # slower than the earlier build by surely more than this: back
 POOL_BINS = 40  # judged evidence reaches this far back
 TICK_MS = 50.0  # how often held requests are tried again
 FILL = 0.95  # part of the exposure window we fill; the rest is room for retries
-FAIR = 1.1  # a trial server gets at most this multiple of an even share, else load looks like a bad build
+FAIR = 0.9  # a trial server gets at most this multiple of an even share, else load looks like a bad build
 COLD_PART = 0.85  # part of the cold budget used by all agents together at full load
 HOLD_PART = 0.25  # a request that cannot be sent is held for this part of its aim, then refused
 CROSS = 1.3  # a server across zones must be this much better
-QUICK = 0.5  # an answer within this part of the aim lets the bound on open requests grow; past the aim it shrinks
-SHRINK, SHRINK_MS = 0.9, 100.0  # how much, and how often at most, as one jam brings many late answers
+QUICK = 0.5  # an answer within this part of the aim lets a server's bound on open work grow; a late one shrinks it
+OPEN_FIRST = 6.0  # own open work a server may hold before answers have told more
+SHRINK, SHRINK_MS = 0.9, 100.0  # how much, and how often at most: one jam brings many late answers
 LEAST_PART = 0.5  # part of the bound open to the least worth; the most worth may fill it
 RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many may be saved: no retry storms
 REFUSED_MS = 400.0  # come-back time given with refusals where clients hear it
@@ -71,12 +72,12 @@
         self.id, self.entry, self.listed, self.ready = entry.server, entry, now, True
         self.open: dict[tuple[int, int], float] = {}
         self.ok, self.slow = 1.0, 1.0
+        self.limit, self.shrunk = OPEN_FIRST, 0.0
         self.sent = Window(fall_ms)
         self.bin: list[list[float]] = [[] for _ in range(classes)]  # latencies of this bin; nan: an error
         self.errors: list[deque[float]] = [deque(maxlen=DEEP) for _ in range(classes)]
         self.latencies: list[deque[float]] = [deque(maxlen=DEEP) for _ in range(classes)]
         self.hits = deque([(0, 0)], maxlen=POOL_BINS)  # (outcomes, errors) a bin
-        self.levels = [0.0, 0.0]  # count and sum of log latency over the usual
 
 
 class Attempt:
@@ -189,7 +190,7 @@
         self.by_tenant = [Window(1000.0) for _ in settings.tenants]
         self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
         self.usual = [c.aim_ms / 4 for c in settings.classes]  # usual latency by class
-        self.limit, self.shrunk, self.retries = 1e3, 0.0, RETRY_MOST
+        self.retries, self.speed = RETRY_MOST, dict[int, float]()  # speed: log latency of a kind over the usual
         self.next_bin, self.next_watch = 0.0, math.inf
         self.news = it.StageNews(0, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, 0.0)
         self.baseline: dict[tuple[int, int], deque[float]] = {}
@@ -283,19 +284,18 @@
         server.ok += (good - server.ok) * (0.5 if status is it.Status.CONNECT_FAILED else 0.2)
         aim = self.s.classes[cls].aim_ms
         if good and latency < QUICK * aim:
-            if len(self.out_there) > LEAST_PART * self.limit:
-                self.limit += 0.2
-        elif latency > aim or status is it.Status.FULL:
-            if self.now - self.shrunk > SHRINK_MS:
-                self.shrunk = self.now
-                self.limit = max(min(self.limit, len(self.out_there) + 1) * SHRINK, len(self.servers))
+            server.limit += 0.5 if len(server.open) >= LEAST_PART * server.limit else 0.0
+        elif (latency > aim or status in UNRUN) and self.now - server.shrunk > SHRINK_MS:
+            server.limit, server.shrunk = max(min(server.limit, len(server.open) + 1) * SHRINK, 1.0), self.now
         if good or status is it.Status.TIMEOUT:
             ratio = latency / self.usual[cls]
             server.slow += (min(ratio, 8.0) - server.slow) * 0.1
             self.usual[cls] += (latency - self.usual[cls]) * 0.02 if good else 0.0
-            side = self._side(attempt.build)
+            side, kind = self._side(attempt.build), server.entry.kind
             if side is not None and not attempt.cold:  # a cold server is slow whatever its build
-                level, log = self.fresh.level[side], math.log(ratio)
+                log = math.log(ratio) - self.speed.get(kind, 0.0)  # nor is a slower kind of machine a slower build
+                self.speed[kind] = self.speed.get(kind, 0.0) + 0.02 * log * side
+                level = self.fresh.level[side]
                 level[0], level[1], level[2] = level[0] + 1, level[1] + log, level[2] + log * log
         if good or status is it.Status.ERROR:
             server.bin[cls].append(latency if good else math.nan)
@@ -315,12 +315,9 @@
         side = self._side(event.build)
         if side is None or event.attempts <= 0:
             return
-        counts, good = Counts(self.n), event.attempts - event.failures
+        counts = Counts(self.n)
         counts.seen[event.cls][2 * side:2 * side + 2] = [event.attempts, event.failures]
         self.tallies.append(counts)
-        if good > 0 and event.mean_ms > 0:
-            log = math.log(event.mean_ms / self.usual[event.cls])
-            counts.level[side] = [good, good * log, good * (log * log + 0.6)]
 
     def _tell(self) -> None:
         """Share this bin's counts; one small message, only while a build is judged."""
@@ -440,11 +437,11 @@
                             tail(int(max(n1, x1)), int(x1), usual + ERROR_MARGIN) < SURE):
                         return f"errors {name} class {cls}: {x1:.0f} of {n1:.0f}, earlier {x0:.0f} of {n0:.0f}"
                 (n1, s1, q1), (n0, s0, q0) = total.level
-                if n1 >= LEVEL_LEAST and n0 >= LEVEL_LEAST and self.news.phase is it.Phase.TRIAL:
+                if name == "own" and n1 >= LEVEL_LEAST and n0 >= LEVEL_LEAST and self.news.phase is it.Phase.TRIAL:
                     m1, m0 = s1 / n1, s0 / n0
                     noise = math.sqrt(max(q1 / n1 - m1 * m1, 0.1) / n1 + max(q0 / n0 - m0 * m0, 0.1) / n0
-                                      + 0.02 / max(1, len(trial)))
-                    if m1 - m0 - 2.6 * noise > LEVEL_BACK:
+                                      + 0.04 / max(1, len(trial)))
+                    if m1 - m0 - 2.3 * noise > LEVEL_BACK:
                         return f"level {name}: {math.exp(m1 - m0):.2f} times the earlier, {n1:.0f} of {n0:.0f}"
         late = any(
             median(now) > cls.aim_ms and (not old or median(old) < cls.aim_ms)
@@ -480,11 +477,13 @@
         return (len(server.open) + 1) * max(server.slow, 0.2) * stall * cross / max(server.ok, 0.1) ** 2
 
     def _choose(self, job: Job) -> Server | None:
-        can = [s for s in self.servers.values() if s.ready and self.may_send(job, s)]
+        part = self._part(job.request)
+        can = [s for s in self.servers.values()
+               if s.ready and len(s.open) < s.limit * part and self.may_send(job, s)]
         trial = [s for s in can if self._cap(s.entry.build) is not None]
         stable = [s for s in can if self._cap(s.entry.build) is None]
         if trial and stable:
-            can = trial if not job.attempts and self._fill(job, len(trial)) else stable
+            can = trial if not job.attempts and self._fill(job) else stable
         well = [s for s in can if s.ok >= DEAD_OK]
         used = {a.server.id for a in job.attempts}
         can = [s for s in well if s.id not in used] or [s for s in can if s.id not in used] or can
@@ -494,17 +493,21 @@
         one, other = self.rng.choice(near or can), self.rng.choice(can)
         return min(one, other, key=self._cost)  # DESIGN: two random choices
 
-    def _fill(self, job: Job, trial: int) -> bool:
+    def _fill(self, job: Job) -> bool:
         """DESIGN: trial first sends fill the cap; ours: not beyond an even share a trial server."""
         if self.tripped:
             return False
-        build, ready = self.news.build, [s for s in self.servers.values() if s.ready]
-        builds = [s.entry.build for s in ready if self._cap(s.entry.build) is not None]
-        build = max(builds)
-        tries, asked = self._exposed(build, job.cls)
-        places = len(ready) - len(builds) if self.roll.replacement is it.Replacement.BESIDE else len(ready)
-        even = FAIR * asked * len(builds) / max(places, 1) + 1
-        return tries < min(FILL * (self.roll.free + (self._cap(build) or 0.0) * asked), even)
+        new, all_weight, new_weight = 0, 0.0, 0.0
+        for server in self.servers.values():
+            if server.ready:
+                weight = server.entry.weight * math.exp(-self.speed.get(server.entry.kind, 0.0))
+                all_weight += weight
+                if self._cap(server.entry.build) is not None:
+                    new, new_weight = max(new, server.entry.build), new_weight + weight
+        tries, asked = self._exposed(new, job.cls)
+        places = all_weight - (new_weight if self.roll.replacement is it.Replacement.BESIDE else 0.0)
+        even = FAIR * asked * new_weight / max(places, new_weight) + 1
+        return tries < min(FILL * (self.roll.free + (self._cap(new) or 0.0) * asked), even)
 
     def _over_share(self, request: it.Request) -> bool:
         if request.tenant >= len(self.by_tenant):
@@ -512,14 +515,14 @@
         quota = self.s.tenants[request.tenant].quota_per_s / self.s.agents
         return self.by_tenant[request.tenant].count(self.now) > quota * 1.1
 
-    def _unwanted(self, request: it.Request) -> bool:
-        """Bound open requests by how quickly answers come; the least worth for its work goes first."""
+    def _part(self, request: it.Request) -> float:
+        """Part of a server's bound open to a request: the least worth for its work is refused first."""
         worth = [c.worth / (1.0 if self.s.worth_by_work else u)
                  for c, u in zip(self.s.classes, self.usual, strict=True)]
         rank = worth[request.cls] / max(worth)
         if self._over_share(request):
             rank *= self.s.over_share_worth
-        return len(self.out_there) >= self.limit * (LEAST_PART + (1 - LEAST_PART) * rank)
+        return LEAST_PART + (1 - LEAST_PART) * rank
 
     # --- request life ---
     def _request(self, request: it.Request) -> None:
@@ -531,9 +534,6 @@
         self.taken.add(self.now)
         if request.tenant < len(self.by_tenant):
             self.by_tenant[request.tenant].add(self.now)
-        if self._unwanted(request):
-            self._give_up(job)
-            return
         self._send(job)
 
     def _send(self, job: Job) -> None:
@@ -546,13 +546,16 @@
         server = self._choose(job)
         if server is None:
             if not any(a.live for a in job.attempts):
-                patience = min(self.now + HOLD_PART * cls.aim_ms, until)
+                # rule 1: a short client budget ends between two ticks, so the last look is well before it
+                patience = min(self.now + HOLD_PART * cls.aim_ms, until - 2 * TICK_MS)
                 self.held.setdefault(job.request.request, patience)
+                if self.now >= patience:
+                    self._give_up(job)
             return
         self.held.pop(job.request.request, None)
         self.retries = min(self.retries + RETRY_PART, RETRY_MOST) if not job.attempts else self.retries - 1
         attempt = Attempt(server, job.cls, self.now)
-        attempt.cold = self._age(server) < self.s.rules.cold_ms
+        attempt.cold = self._age(server) < self.s.rules.cold_ms + 2 * BIN_MS
         self.out_there[job.request.request, len(job.attempts)] = attempt
         server.open[job.request.request, len(job.attempts)] = self.now
         server.sent.add(self.now)
