Spread trial sends by chance instead of filling the window in one go

Cause: a window filled greedily hit a cold trial server with a burst of every agent at once; its queue made good builds 2 to 3 times slower than the earlier one and the level breaker sent them back.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -32,7 +32,7 @@
 POOL_BINS = 40  # judged evidence reaches this far back
 TICK_MS = 50.0  # how often held requests are tried again
 FILL = 0.95  # part of the exposure window we fill; the rest is room for retries
-FAIR = 0.9  # a trial server gets at most this multiple of an even share, else load looks like a bad build
+FAIR = 1.15  # a trial server gets at most this multiple of an even share, else load looks like a bad build
 COLD_PART = 0.85  # part of the cold budget used by all agents together at full load
 HOLD_PART = 0.25  # a request that cannot be sent is held for this part of its aim, then refused
 CROSS = 1.3  # a server across zones must be this much better
@@ -506,8 +506,10 @@
                     new, new_weight = max(new, server.entry.build), new_weight + weight
         tries, asked = self._exposed(new, job.cls)
         places = all_weight - (new_weight if self.roll.replacement is it.Replacement.BESIDE else 0.0)
-        even = FAIR * asked * new_weight / max(places, new_weight) + 1
-        return tries < min(FILL * (self.roll.free + (self._cap(new) or 0.0) * asked), even)
+        room = FILL * (self.roll.free + (self._cap(new) or 0.0) * asked)
+        share = min(room / max(asked, 1), FAIR * new_weight / max(places, new_weight))
+        # by chance, not greedily: a window filled in one go is a burst that a cold server queues for seconds
+        return tries < room and self.rng.random() < share
 
     def _over_share(self, request: it.Request) -> bool:
         if request.tenant >= len(self.by_tenant):
