--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -28,7 +28,7 @@
 CLASS_LEAST = 6  # trial outcomes of each class before going on: a class failing a third shows 9 times in 10
 SURE = 0.001  # a breaker needs evidence this unlikely by chance: one spike or one error is no verdict
 LEVEL_LEAST = 20  # latencies behind a verdict on the level
-LEVEL_BACK = math.log(1.5)  # slower than the earlier build by surely more than this: back
+LEVEL_BACK = math.log(1.8)  # slower than the earlier build by surely more than this: back
 POOL_BINS = 40  # judged evidence reaches this far back
 TICK_MS = 50.0  # how often held requests are tried again
 FILL = 0.95  # part of the exposure window we fill; the rest is room for retries
@@ -440,8 +440,9 @@
                 if name == "own" and n1 >= LEVEL_LEAST and n0 >= LEVEL_LEAST and self.news.phase is it.Phase.TRIAL:
                     m1, m0 = s1 / n1, s0 / n0
                     noise = math.sqrt(max(q1 / n1 - m1 * m1, 0.1) / n1 + max(q0 / n0 - m0 * m0, 0.1) / n0
-                                      + 0.04 / max(1, len(trial)))
-                    if m1 - m0 - 2.3 * noise > LEVEL_BACK:
+                                      + 0.08 / max(1, len(trial)))
+                    shown = trial and earlier and median(s.slow for s in trial) > 1.4 * median(s.slow for s in earlier)
+                    if shown and m1 - m0 - 2.3 * noise > LEVEL_BACK:
                         return f"level {name}: {math.exp(m1 - m0):.2f} times the earlier, {n1:.0f} of {n0:.0f}"
         late = any(
             median(now) > cls.aim_ms and (not old or median(old) < cls.aim_ms)
@@ -500,7 +501,8 @@
         new, all_weight, new_weight = 0, 0.0, 0.0
         for server in self.servers.values():
             if server.ready:
-                weight = server.entry.weight * math.exp(-self.speed.get(server.entry.kind, 0.0))
+                weight = (server.entry.weight * math.exp(-self.speed.get(server.entry.kind, 0.0))
+                          * self._able(server))
                 all_weight += weight
                 if self._cap(server.entry.build) is not None:
                     new, new_weight = max(new, server.entry.build), new_weight + weight
@@ -629,6 +631,12 @@
         started = server.entry.started_ms
         return self.now - started if started > 0 else math.inf
 
+    def _able(self, server: Server) -> float:
+        """Least part of its capacity that a server has had throughout the fall window; 1 once warm."""
+        rules = self.s.rules
+        grown = max(0.0, self._age(server) - rules.fall_ms) / max(rules.cold_ms, 1.0)
+        return rules.start_capacity + (1.0 - rules.start_capacity) * min(1.0, grown)
+
     def may_send(self, job: Job, server: Server) -> bool:
         """All five rules, for first sends, retries and copies alike."""
         rules, limits, cls, entry = self.s.rules, self.s.limits, self.s.classes[job.cls], server.entry
@@ -658,10 +666,8 @@
             return False
         age = self._age(server)
         if age < rules.cold_ms + BIN_MS:  # rule 4: our part of what a cold server bears
-            grown = max(0.0, age - rules.fall_ms) / max(rules.cold_ms, 1.0)
-            able = rules.start_capacity + (1.0 - rules.start_capacity) * min(1.0, grown)
             ready = sum(1 for s in self.servers.values() if s.ready)
             even = self.taken.count(self.now) / max(1, ready)
-            if server.sent.count(self.now) + 1 > max(1.0, COLD_PART * rules.fall_multiple * able * even):
+            if server.sent.count(self.now) + 1 > max(1.0, COLD_PART * rules.fall_multiple * self._able(server) * even):
                 return False
         return True
