--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -23,9 +23,10 @@
 FRESH_MS = 2000.0  # DESIGN: servers listed more recently are left out of the scores
 PASS_MEAN = 0.9  # DESIGN: mean score to go on
 SETTLED_P = 0.05  # DESIGN: t-test level
-ERROR_MARGIN = 0.05  # DESIGN: breaker at five points over the earlier build's error share
+ERROR_MARGIN = 0.025  # DESIGN says five points over the earlier build; half, as a late or loaded failure starts small
 POINTS_LEAST = 4  # score points before halves can be compared
 CLASS_LEAST = 6  # trial outcomes of each class before going on: a class failing a third shows 9 times in 10
+CHANCE = 0.01  # error share over the earlier build's that is still laid to chance
 SURE = 0.001  # a breaker needs evidence this unlikely by chance: one spike or one error is no verdict
 LEVEL_LEAST = 20  # latencies behind a verdict on the level
 LEVEL_BACK = math.log(1.8)  # slower than the earlier build by surely more than this: back
@@ -197,6 +198,7 @@
         self.points: deque[float] = deque(maxlen=POOL_BINS)
         self.pool: deque[Counts] = deque(maxlen=POOL_BINS)
         self.tallies: deque[Counts] = deque(maxlen=POOL_BINS)
+        self.before = dict[int, float]()  # earlier error share by class
         self.fresh, self.heard = Counts(self.n), Counts(self.n)
         self.late_bins, self.tripped, self.vote_at, self.drawn = 0, "", -math.inf, -math.inf
         self.last_vote: tuple[int, int, it.Verdict] | None = None
@@ -415,6 +417,8 @@
         for pool in (self.pool, self.tallies):
             total = self._sum(pool)
             counts = [row[0] for row in total.seen]
+            if any(row[1] >= 2 and row[1] > 2 * ERROR_MARGIN * row[0] for row in total.seen):
+                return False
             if sum(counts) >= OUTCOMES_LEAST and min(counts) >= CLASS_LEAST:
                 (n1, sum1, _), (n0, sum0, _) = total.level
                 fine = n1 and n0 and sum1 / n1 - sum0 / n0 < LEVEL_BACK
@@ -430,11 +434,13 @@
                 total = self._sum(part)
                 rows = [*total.seen, [sum(col) for col in zip(*total.seen, strict=True)]]
                 for cls, (n1, x1, n0, x0) in enumerate(rows):
-                    usual = (x0 + 0.5) / (n0 + 1) if n0 >= 10 else 0.01
+                    if n0 >= LEVEL_LEAST:  # DESIGN: lacking earlier servers, the last baseline stays
+                        self.before[cls] = (x0 + 0.5) / (n0 + 1)
+                    usual = self.before.get(cls, CHANCE)
                     # all trial servers must show it: one failing machine is no failing build
                     spread = not known or sum(known) * 2 > len(known)
                     if x1 >= 2 and n1 and x1 / n1 > usual + ERROR_MARGIN and spread and (
-                            tail(int(max(n1, x1)), int(x1), usual + ERROR_MARGIN) < SURE):
+                            tail(int(max(n1, x1)), int(x1), usual + CHANCE) < SURE):
                         return f"errors {name} class {cls}: {x1:.0f} of {n1:.0f}, earlier {x0:.0f} of {n0:.0f}"
                 (n1, s1, q1), (n0, s0, q0) = total.level
                 if name == "own" and n1 >= LEVEL_LEAST and n0 >= LEVEL_LEAST and self.news.phase is it.Phase.TRIAL:
