Tighter bounds on open work, class evidence by stage, late breaker on trial only

Cause: after a jam most open work was already late and was held open up to the aim; rare classes delayed the first vote by ten seconds.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -19,7 +19,7 @@
 POINTS_LEAST, POINTS_MOST = 4, 12  # score points to test: a low start is forgotten after six seconds
 ERROR_MARGIN = 0.025  # DESIGN: five points over the earlier build; half, as late failures start small
 CHANCE, SURE = 0.01, 0.001  # extra error share laid to chance; a breaker is sure when that is rarer
-CLASS_LEAST = 6  # trial outcomes of each class before going on: a class failing a third shows 9 times in 10
+CLASS_LEAST = 3  # trial outcomes of each class before going on, times the stage's number: it exposes more
 LEVEL_LEAST, SERVER_NOISE = 20, 0.08  # latencies behind a level; variance of log latency among alike servers
 LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
 POOL_BINS, TICK_MS = 40, 50.0  # evidence reaches so many bins back; held requests are tried again so often
@@ -28,8 +28,8 @@
 COLD_PART = 0.85  # part of a cold server's budget used when all agents send at full load
 HOLD_PART = 0.25  # a request that cannot be sent is held for this part of its aim, then answered
 CROSS = 1.3  # a server across zones must be this much better where crossing is priced
-OPEN_FIRST, QUICK = 6.0, 0.5  # own open work a server may hold at first; answers in this part of the aim add
-SHRINK, SHRINK_MS = 0.9, 100.0  # late ones take away, and how often at most: one jam brings many late answers
+OPEN_FIRST, QUICK, TARDY = 6.0, 0.4, 0.75  # own open work a server may hold at first; parts of the aim:
+SHRINK, SHRINK_MS = 0.85, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 LEAST_PART = 0.5  # part of the bound open to the least worth; the most worth may fill it
 RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many are saved: no retry storms
 REFUSED_MS = 400.0  # come-back time given with refusals where clients hear it
@@ -167,7 +167,7 @@
         # an evidence row: by class trial outcomes, errors, earlier ones; log-latency n, sum, squares of both
         self.fresh, self.heard = [0.0] * (4 * self.n + 6), [0.0] * (4 * self.n + 6)
         self.pools = {name: deque[list[float]](maxlen=POOL_BINS) for name in ("own", "tally")}
-        self.points, self.before = deque[float](maxlen=POINTS_MOST), dict[int, float]()  # before: earlier errors
+        self.points, self.before = deque[float](maxlen=POINTS_MOST), dict[int, float]()  # before: last errors
         self.late_bins, self.tripped, self.vote_at = 0, "", -math.inf
         self.last_vote: tuple[int, int, it.Verdict] | None = None
 
@@ -240,10 +240,10 @@
         if status in (it.Status.CANCELLED, it.Status.MOOT):
             return
         good = status is it.Status.OK
-        server.ok += (good - server.ok) * (0.5 if status in UNRUN else 0.2)  # it drains or died before we were told
+        server.ok += (good - server.ok) * (0.5 if status in UNRUN else 0.2)
         if good and latency < QUICK * aim:
             server.limit += 0.5 if len(server.open) >= LEAST_PART * server.limit else 0.0
-        elif (latency > aim or status in UNRUN) and self.now - server.shrunk > SHRINK_MS:
+        elif (latency > TARDY * aim or status in UNRUN) and self.now - server.shrunk > SHRINK_MS:
             server.limit, server.shrunk = max(min(server.limit, len(server.open) + 1) * SHRINK, 1.0), self.now
         if good or status is it.Status.TIMEOUT:
             log, kind = math.log(latency / self.usual[cls]), server.entry.kind
@@ -344,7 +344,8 @@
         if self.news.stage and n0 >= LEVEL_LEAST and (n1 < LEVEL_LEAST or s1 / n1 - s0 / n0 > LEVEL_BACK):
             return False  # by now servers of the first stage are warm, so a slow build can be told
         return all(x < 2 or x <= 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows) and any(
-            rows[-1][0] >= OUTCOMES_LEAST and min(row[0] for row in rows) >= CLASS_LEAST for rows, _ in pools)
+            rows[-1][0] >= OUTCOMES_LEAST
+            and min(row[0] for row in rows) >= CLASS_LEAST * (1 + self.news.stage) for rows, _ in pools)
 
     def _breaker(self, trial: list[Server], earlier: list[Server]) -> str:
         """DESIGN's breakers, asked to be sure, and the level that scaling erases (docs/design.md)."""
@@ -369,8 +370,9 @@
                     return f"level {name}: {math.exp(m1 - m0):.2f} times the earlier, {n1:.0f} to {n0:.0f}"
         mid = [[median([s.series[2 * c + 1][-1] for s in group if s.series[2 * c + 1]] or [0.0])
                 for c in range(self.n)] for group in (trial, earlier)]
-        late = [c for c, cls in enumerate(self.s.classes) if earlier and mid[0][c] > cls.aim_ms >= mid[1][c]]
-        self.late_bins = self.late_bins + 1 if late else 0  # ours: not while the earlier build is late too
+        late = [c for c, cls in enumerate(self.s.classes) if mid[0][c] > cls.aim_ms >= mid[1][c] > 0]
+        # ours: not while the earlier build is late too, nor when it leaves
+        self.late_bins = self.late_bins + 1 if late and self.news.phase is it.Phase.TRIAL else 0
         return f"late class {late[0]}" if self.late_bins >= LATE_BINS else ""
 
     def _vote(self, verdict: it.Verdict, why: str) -> None:
