No step while all servers are slower or before its servers are seen; on votes taken back

Cause: builds that slow all servers passed, as old and new look alike; on votes stood from before a stage had load. Usual latency is now frozen while a build is on trial.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -23,6 +23,7 @@
 LEVEL_LEAST, SERVER_NOISE = 20, 0.08  # latencies behind a level; variance of log latency among alike servers
 LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
 POOL_BINS, TICK_MS = 40, 50.0  # evidence reaches so many bins back; held requests are tried again so often
+WORSE_HOLD, WORSE_BACK, WORSE_BINS = math.log(1.4), math.log(1.6), 14  # all slower: no step; so long: back
 FILL = 0.95  # part of the exposure window that first sends use; the rest is room for retries
 FAIR = 1.15  # a trial server gets at most this multiple of an even share, else load looks like a bad build
 COLD_PART = 0.85  # part of a cold server's budget used when all agents send at full load
@@ -168,7 +169,7 @@
         self.fresh, self.heard = [0.0] * (4 * self.n + 6), [0.0] * (4 * self.n + 6)
         self.pools = {name: deque[list[float]](maxlen=POOL_BINS) for name in ("own", "tally")}
         self.points, self.before = deque[float](maxlen=POINTS_MOST), dict[int, float]()  # before: last errors
-        self.late_bins, self.tripped, self.vote_at = 0, "", -math.inf
+        self.late_bins, self.worse_bins, self.tripped, self.vote_at = 0, 0, "", -math.inf
         self.last_vote: tuple[int, int, it.Verdict] | None = None
 
     def handle(self, now: float, event: it.Event) -> list[it.Action]:
@@ -223,7 +224,7 @@
                 pool.clear()
         if (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.points.clear()
-            self.late_bins, self.last_vote = 0, None
+            self.late_bins, self.worse_bins, self.last_vote = 0, 0, None
             if news.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN):
                 self.answered.clear()
 
@@ -248,11 +249,12 @@
         if good or status is it.Status.TIMEOUT:
             log, kind = math.log(latency / self.usual[cls]), server.entry.kind
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
-            self.usual[cls] += (latency - self.usual[cls]) * 0.02 if good else 0.0
+            calm = self.news.phase is not it.Phase.TRIAL  # on trial, the usual stays what it was before
+            self.usual[cls] += (latency - self.usual[cls]) * 0.03 if good and calm else 0.0
             if attempt.build <= self.news.build and not attempt.cold:  # any build is slow on a cold server
                 earlier = attempt.build < self.news.build
                 log -= self.speed.get(kind, 0.0)  # and a slow kind of machine is no slow build
-                self.speed[kind] = self.speed.get(kind, 0.0) + 0.02 * log * earlier
+                self.speed[kind] = self.speed.get(kind, 0.0) + 0.03 * log * earlier * calm
                 at = 4 * self.n + 3 * earlier
                 for i in range(3):
                     self.fresh[at + i] += log ** i
@@ -264,7 +266,6 @@
         server = self.servers.get(event.server)
         if server:  # a wrong answer was counted as good when it passed
             self._book(self.fresh, server.entry.build, event.cls, 0, 1)
-            server.bin[event.cls].append(math.nan)
 
     def _tally(self, event: it.Tally) -> None:
         row = [0.0] * len(self.fresh)
@@ -325,10 +326,13 @@
             self.points.append(0.0 if trip else fmean(scores))
         if self.tripped:
             self._vote(it.Verdict.BACK, self.tripped)
-        elif self.news.phase is it.Phase.TRIAL and settled(list(self.points)) and self._enough():
-            mean = fmean(self.points)
-            if mean >= PASS_MEAN or self.roll.control is not it.Control.ANY:  # there only breakers go back
-                self._vote(it.Verdict.ON if mean >= PASS_MEAN else it.Verdict.BACK, f"mean {mean:.2f}")
+        elif self.news.phase is it.Phase.TRIAL:
+            mean, enough = fmean(self.points or [0.0]), self._enough(trial, earlier)
+            if enough and settled(list(self.points)):
+                if mean >= PASS_MEAN or self.roll.control is not it.Control.ANY:  # there only breakers go back
+                    self._vote(it.Verdict.ON if mean >= PASS_MEAN else it.Verdict.BACK, f"mean {mean:.2f}")
+            elif not enough and self.last_vote == (self.news.build, self.news.stage, it.Verdict.ON):
+                self._vote(it.Verdict.NONE, "a change of mind: what held when we voted no longer does")
 
     def _totals(self, name: str, bins: int = POOL_BINS) -> tuple[list[tuple[float, ...]], tuple[float, ...]]:
         """A pool's sums over its newest rows: by class, with all classes last, and the levels."""
@@ -337,12 +341,15 @@
         classes = [tuple(sums[4 * c:4 * c + 4]) for c in range(self.n)]
         return [*classes, tuple(map(math.fsum, zip(*classes, strict=True)))], tuple(sums[4 * self.n:])
 
-    def _enough(self) -> bool:
+    def _enough(self, trial: list[Server], earlier: list[Server]) -> bool:
         """Could the evidence have shown a failing class? A quiet agent leaves the vote to others."""
         pools = [self._totals(name) for name in self.pools]
         n1, s1, _, n0, s0, _ = pools[0][1]
         if self.news.stage and n0 >= LEVEL_LEAST and (n1 < LEVEL_LEAST or s1 / n1 - s0 / n0 > LEVEL_BACK):
             return False  # by now servers of the first stage are warm, so a slow build can be told
+        places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
+        if self._worse() > WORSE_HOLD or len(trial) < 0.7 * self.roll.stage_share[self.news.stage] * places:
+            return False  # no step while all are slower, by a burst or by the build, nor before its servers are seen
         return all(x < 2 or x <= 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows) and any(
             rows[-1][0] >= OUTCOMES_LEAST
             and min(row[0] for row in rows) >= CLASS_LEAST * (1 + self.news.stage) for rows, _ in pools)
@@ -371,10 +378,19 @@
         mid = [[median([s.series[2 * c + 1][-1] for s in group if s.series[2 * c + 1]] or [0.0])
                 for c in range(self.n)] for group in (trial, earlier)]
         late = [c for c, cls in enumerate(self.s.classes) if mid[0][c] > cls.aim_ms >= mid[1][c] > 0]
-        # ours: not while the earlier build is late too, nor when it leaves
-        self.late_bins = self.late_bins + 1 if late and self.news.phase is it.Phase.TRIAL else 0
+        # ours: not while the earlier build is late too or leaves, nor on an old value that empty bins repeat
+        told = late and self.news.phase is it.Phase.TRIAL and sum(s.hits[-1][0] for s in trial) >= 2 * self.n
+        self.late_bins = self.late_bins + 1 if told else 0
+        self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE_BACK else 0
+        if self.worse_bins >= WORSE_BINS:
+            return f"all servers slower since the build came, {math.exp(self._worse()):.2f} times"
         return f"late class {late[0]}" if self.late_bins >= LATE_BINS else ""
 
+    def _worse(self) -> float:
+        """Log latency of the earlier build's servers over their usual before the build judged was offered."""
+        _, (_, _, _, n0, s0, _) = self._totals("own", DEEP)
+        return s0 / n0 if n0 >= LEVEL_LEAST and self.news.phase is it.Phase.TRIAL else 0.0
+
     def _vote(self, verdict: it.Verdict, why: str) -> None:
         """DESIGN: one draw each vote life; a vote that stands is not cast again."""
         vote = (self.news.build, self.news.stage, verdict)
