Failing trial machines weigh less and hold no step; agents restarted midway wait

Cause: one failing machine among the trial servers held good builds and its load made the others look slow; an agent restarted during a trial took the jam for usual.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -6,7 +6,7 @@
 import random
 import struct
 from collections import deque
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from statistics import fmean, median, pvariance, variance
 
 from otterquay import interface as it
@@ -24,6 +24,7 @@
 LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
 POOL_BINS, TICK_MS = 40, 50.0  # evidence reaches so many bins back; held requests are tried again so often
 WORSE_HOLD, WORSE_BACK, WORSE_BINS = math.log(1.4), math.log(1.6), 14  # all slower: no step; so long: back
+SEEN_PART, SETTLE_MS = 0.7, 15000.0  # part of a stage's servers seen before a step; an agent restarted in it waits
 FILL = 0.95  # part of the exposure window that first sends use; the rest is room for retries
 FAIR = 1.15  # a trial server gets at most this multiple of an even share, else load looks like a bad build
 COLD_PART = 0.85  # part of a cold server's budget used when all agents send at full load
@@ -70,9 +71,8 @@
     """One attempt: where it went, when, and whether it may have run."""
 
     def __init__(self, server: Server, cls: int, now: float, cold: bool) -> None:
-        self.server, self.cls, self.sent, self.cold = server, cls, now, cold
+        self.server, self.cls, self.sent, self.cold, self.live, self.unrun = server, cls, now, cold, True, False
         self.zone, self.cell, self.build = server.entry.zone, server.entry.cell, server.entry.build
-        self.live, self.unrun = True, False
 
 
 class Job:
@@ -171,6 +171,7 @@
         self.points, self.before = deque[float](maxlen=POINTS_MOST), dict[int, float]()  # before: last errors
         self.late_bins, self.worse_bins, self.tripped, self.vote_at = 0, 0, "", -math.inf
         self.last_vote: tuple[int, int, it.Verdict] | None = None
+        self.began, self.midway, self.shared = math.inf, False, False  # started while a build was on trial?
 
     def handle(self, now: float, event: it.Event) -> list[it.Action]:
         """What to do about one event; one that we have no use for is passed over."""
@@ -198,12 +199,11 @@
 
     def _serverlist(self, news: it.ServerList) -> None:
         if news.kind is it.ListKind.FAILED:
-            self.next_watch = min(self.next_watch, self.now + BIN_MS)
+            self.next_watch = self.now + BIN_MS
             return
-        if news.kind is not it.ListKind.DELTA:
-            named = {e.server for e in news.entries}
-            for server in self.servers.values():
-                server.ready = server.ready and server.id in named
+        named = {e.server for e in news.entries}
+        for server in self.servers.values():
+            server.ready = server.ready and (news.kind is it.ListKind.DELTA or server.id in named)
         for entry in news.entries:
             known = self.servers.get(entry.server)
             # a restart, or another build under a known id: what we knew of it is void and it is cold
@@ -217,6 +217,8 @@
             return
         if news.build < self.news.build:
             return
+        if self.began == math.inf:
+            self.began, self.midway = self.now, news.phase is it.Phase.TRIAL
         old, self.news = self.news, news
         if news.build != old.build:  # nothing seen of the last build speaks of this one
             self.fresh, self.heard, self.tripped = [0.0] * len(self.fresh), [0.0] * len(self.fresh), ""
@@ -274,10 +276,9 @@
 
     def _peermessage(self, event: it.PeerMessage) -> None:
         """Another agent's evidence counts like our own, however late: it is one row of counts."""
-        form = f"<{len(self.fresh)}f"
-        if len(event.data) == NOTE.size + struct.calcsize(form) and (
-                NOTE.unpack_from(event.data) == (1, self.news.build, self.n)):
-            row = struct.unpack_from(form, event.data, NOTE.size)
+        fits = len(event.data) == NOTE.size + 4 * len(self.fresh)
+        if fits and NOTE.unpack_from(event.data) == (1, self.news.build, self.n):
+            row = struct.unpack_from(f"<{len(self.fresh)}f", event.data, NOTE.size)
             self.heard = [x + (y if math.isfinite(y) else 0.0) for x, y in zip(self.heard, row, strict=True)]
 
     def _close_bin(self) -> None:
@@ -305,18 +306,16 @@
         for metric, past in enumerate(self.baseline):
             old, new = ([s.series[metric] for s in group] for group in (earlier or trial, trial))
             past.extend(self._distances(old, old))
-            found = list(self._distances(new, old))
+            found = self._distances(new, old)
             if found and earlier and len(past) >= PAIRS_LEAST:
                 scores.append(metric_score(fmean(found), past))
         if judged:
             self._judge(scores, trial, earlier)
 
-    def _distances(self, ones: list[deque[float]], others: list[deque[float]]) -> Iterator[float]:
+    def _distances(self, ones: list[deque[float]], others: list[deque[float]]) -> list[float]:
         """Distances of a few random pairs of series."""
-        for _ in range(PAIRS_A_BIN if ones and others else 0):
-            a, b = self.rng.choice(ones), self.rng.choice(others)
-            if a is not b and min(len(a), len(b)) >= 2:
-                yield distance(a, b)
+        pairs = [(self.rng.choice(ones), self.rng.choice(others)) for _ in range(PAIRS_A_BIN) if ones and others]
+        return [distance(a, b) for a, b in pairs if a is not b and min(len(a), len(b)) >= 2]
 
     # --- voting ---
     def _judge(self, scores: list[float], trial: list[Server], earlier: list[Server]) -> None:
@@ -328,11 +327,12 @@
             self._vote(it.Verdict.BACK, self.tripped)
         elif self.news.phase is it.Phase.TRIAL:
             mean, enough = fmean(self.points or [0.0]), self._enough(trial, earlier)
-            if enough and settled(list(self.points)):
-                if mean >= PASS_MEAN or self.roll.control is not it.Control.ANY:  # there only breakers go back
-                    self._vote(it.Verdict.ON if mean >= PASS_MEAN else it.Verdict.BACK, f"mean {mean:.2f}")
+            verdict = it.Verdict.ON if mean >= PASS_MEAN else it.Verdict.BACK
+            if enough and settled(list(self.points)) and (
+                    verdict is it.Verdict.ON or self.roll.control is not it.Control.ANY):  # DESIGN
+                self._vote(verdict, f"mean {mean:.2f}")
             elif not enough and self.last_vote == (self.news.build, self.news.stage, it.Verdict.ON):
-                self._vote(it.Verdict.NONE, "a change of mind: what held when we voted no longer does")
+                self._vote(it.Verdict.NONE, "a change of mind")
 
     def _totals(self, name: str, bins: int = POOL_BINS) -> tuple[list[tuple[float, ...]], tuple[float, ...]]:
         """A pool's sums over its newest rows: by class, with all classes last, and the levels."""
@@ -348,24 +348,26 @@
         if self.news.stage and n0 >= LEVEL_LEAST and (n1 < LEVEL_LEAST or s1 / n1 - s0 / n0 > LEVEL_BACK):
             return False  # by now servers of the first stage are warm, so a slow build can be told
         places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
-        if self._worse() > WORSE_HOLD or len(trial) < 0.7 * self.roll.stage_share[self.news.stage] * places:
-            return False  # no step while all are slower, by a burst or by the build, nor before its servers are seen
-        return all(x < 2 or x <= 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows) and any(
-            rows[-1][0] >= OUTCOMES_LEAST
-            and min(row[0] for row in rows) >= CLASS_LEAST * (1 + self.news.stage) for rows, _ in pools)
+        unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
+        if self._worse() > WORSE_HOLD or unseen or (self.midway and self.now < self.began + SETTLE_MS):
+            return False  # all slower, by a burst or by the build; its servers not seen; too new here to tell
+        failing = any(x >= 2 and x > 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
+        least = CLASS_LEAST * (1 + self.news.stage)
+        seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(row[0] for row in rows) >= least for rows, _ in pools)
+        return seen and not (failing and self.shared)
 
     def _breaker(self, trial: list[Server], earlier: list[Server]) -> str:
         """DESIGN's breakers, asked to be sure, and the level that scaling erases (docs/design.md)."""
         hits = [(sum(n for n, _ in s.hits), sum(x for _, x in s.hits)) for s in trial]
         known = [x > ERROR_MARGIN * n for n, x in hits if n >= 4]
-        shared = not known or 2 * sum(known) > len(known)  # one failing machine is no failing build
+        self.shared = not known or 2 * sum(known) > len(known)  # one failing machine is no failing build
         for name, bins in (("own", POOL_BINS), ("own", DEEP), ("tally", POOL_BINS), ("tally", DEEP)):
             rows, (n1, s1, q1, n0, s0, q0) = self._totals(name, bins)
             for cls, (n, x, old_n, old_x) in enumerate(rows):
                 if old_n >= LEVEL_LEAST:  # DESIGN: lacking earlier servers, the last baseline stays
                     self.before[cls] = (old_x + 0.5) / (old_n + 1)
                 usual = self.before.get(cls, CHANCE)
-                if shared and x >= 2 and x > (usual + ERROR_MARGIN) * n and tail(
+                if self.shared and x >= 2 and x > (usual + ERROR_MARGIN) * n and tail(
                         int(max(n, x)), int(x), usual + CHANCE) < SURE:
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
             if self.news.phase is it.Phase.TRIAL and trial and earlier and min(n1, n0) >= LEVEL_LEAST:
@@ -382,9 +384,8 @@
         told = late and self.news.phase is it.Phase.TRIAL and sum(s.hits[-1][0] for s in trial) >= 2 * self.n
         self.late_bins = self.late_bins + 1 if told else 0
         self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE_BACK else 0
-        if self.worse_bins >= WORSE_BINS:
-            return f"all servers slower since the build came, {math.exp(self._worse()):.2f} times"
-        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else ""
+        slower = f"all {math.exp(self._worse()):.2f} times slower since it came" if self.worse_bins >= WORSE_BINS else ""
+        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else slower
 
     def _worse(self) -> float:
         """Log latency of the earlier build's servers over their usual before the build judged was offered."""
@@ -414,26 +415,20 @@
         can = [s for s in self.servers.values() if len(s.open) < s.limit * part and self.may_send(job, s)]
         stable = [s for s in can if self._cap(s.entry.build) is None]
         if stable and len(stable) < len(can):
-            trial = [s for s in can if self._cap(s.entry.build) is not None]
-            can = trial if not job.attempts and self._fill(job) else stable
+            can = [s for s in can if s not in stable] if not job.attempts and self._fill(job) else stable
         used = {a.server.id for a in job.attempts}
         can = [s for s in can if s.ok >= DEAD_OK and s.id not in used] or can
         near = [s for s in can if s.entry.zone == self.s.zone and self.s.cross_zone_price] or can
-        # DESIGN: two random choices
-        return min(self.rng.choice(near), self.rng.choice(can), key=self._cost) if can else None
+        return min(self.rng.choice(near), self.rng.choice(can), key=self._cost) if can else None  # DESIGN: of two
 
     def _fill(self, job: Job) -> bool:
         """DESIGN: trial first sends fill the cap; ours: not beyond an even share a trial server."""
-        new, all_weight, new_weight = 0, 0.0, 0.0
-        for server in self.servers.values():
-            if server.ready:
-                kind = self.speed.get(server.entry.kind, 0.0)
-                weight = server.entry.weight * math.exp(-kind) * self._able(server)
-                all_weight += weight
-                if self._cap(server.entry.build) is not None:
-                    new, new_weight = max(new, server.entry.build), new_weight + weight
+        ready = [s for s in self.servers.values() if s.ready]
+        weights = [s.entry.weight * math.exp(-self.speed.get(s.entry.kind, 0.0)) * self._able(s) * s.ok for s in ready]
+        trial = [i for i, s in enumerate(ready) if self._cap(s.entry.build) is not None]
+        new, new_weight = max(ready[i].entry.build for i in trial), sum(weights[i] for i in trial)
         tries, asked = self._exposed(new, job.cls)
-        places = all_weight - (new_weight if self.roll.replacement is it.Replacement.BESIDE else 0.0)
+        places = sum(weights) - (new_weight if self.roll.replacement is it.Replacement.BESIDE else 0.0)
         room = FILL * (self.roll.free + (self._cap(new) or 0.0) * asked)
         share = min(room / max(asked, 1), FAIR * new_weight / max(places, new_weight, 1e-9))
         # by chance, not greedily: a window filled in one go is a burst that a cold server queues for seconds
@@ -441,11 +436,10 @@
 
     def _part(self, request: it.Request) -> float:
         """Part of a server's bound open to a request: the least worth for its work is refused first."""
-        by_work, classes = self.s.worth_by_work, enumerate(self.s.classes)
-        worth = [c.worth / (1.0 if by_work else self.usual[i]) for i, c in classes]
+        worth = [c.worth / (1 if self.s.worth_by_work else u) for c, u in zip(self.s.classes, self.usual, strict=True)]
         rank = worth[request.cls] / max(*worth, 1e-9)
-        quota = self.s.tenants[request.tenant].quota_per_s / self.s.agents if self.by_tenant else math.inf
-        if self.by_tenant and self.by_tenant[request.tenant].count(self.now) > OVER_SHARE * quota:
+        quota = OVER_SHARE / self.s.agents * self.s.tenants[request.tenant].quota_per_s if self.by_tenant else 0.0
+        if self.by_tenant and self.by_tenant[request.tenant].count(self.now) > quota:
             rank *= self.s.over_share_worth
         return LEAST_PART + (1 - LEAST_PART) * rank
 
