--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -15,27 +15,22 @@
 BIN_MS, DEEP, LATE_BINS = 500.0, 8, 3  # DESIGN: half-second bins, eight deep; late ones running that break
 PAIRS_LEAST, PAIRS_A_BIN, BASELINE_BINS = 20, 4, 60  # DESIGN: 20 pairs over 30 s; ours: pairs a bin
 OUTCOMES_LEAST, FRESH_MS = 20, 2000.0  # DESIGN: trial outcomes for a vote; servers listed later are left out
-PASS_MEAN, SETTLED_P = 0.9, 0.05  # DESIGN: mean to go on, t-test level
-POINTS_LEAST, POINTS_MOST = 4, 12  # score points to test: a low start is forgotten after six seconds
+PASS_MEAN, SETTLED_P = 0.9, 0.05  # DESIGN: mean to go on, t-test level; ours: least and most points tested,
+POINTS_LEAST, POINTS_MOST, POOL_BINS, TICK_MS = 4, 12, 40, 50.0  # bins of evidence, looks at held requests
 ERROR_MARGIN = 0.025  # DESIGN: five points over the earlier build; half, as late failures start small
 CHANCE, SURE = 0.01, 0.001  # extra error share laid to chance; a breaker is sure when that is rarer
 CLASS_LEAST = 3  # trial outcomes of each class before going on, times the stage's number: it exposes more
 LEVEL_LEAST, SERVER_NOISE = 20, 0.08  # latencies behind a level; variance of log latency among alike servers
 LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
-POOL_BINS, TICK_MS = 40, 50.0  # evidence reaches so many bins back; held requests are tried again so often
 WORSE_HOLD, WORSE_BACK, WORSE_BINS = math.log(1.4), math.log(1.6), 14  # all slower: no step; so long: back
-SEEN_PART, SETTLE_MS = 0.7, 15000.0  # part of a stage's servers seen before a step; an agent restarted in it waits
-FILL = 0.95  # part of the exposure window that first sends use; the rest is room for retries
-FAIR = 1.15  # a trial server gets at most this multiple of an even share, else load looks like a bad build
-COLD_PART = 0.85  # part of a cold server's budget used when all agents send at full load
-HOLD_PART = 0.25  # a request that cannot be sent is held for this part of its aim, then answered
-CROSS = 1.3  # a server across zones must be this much better where crossing is priced
+SEEN_PART, SETTLE_MS = 0.7, 15000.0  # a stage's servers seen before a step; restarted agents wait
+FILL, FAIR, COLD_PART = 0.95, 1.15, 0.85  # most used of the cap, of an even trial share, of a cold budget
+HOLD_PART, CROSS = 0.25, 1.3  # part of its aim a request is held while none may go; a crossing's cost
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.4, 0.75  # own open work a server may hold at first; parts of the aim:
 SHRINK, SHRINK_MS = 0.85, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 LEAST_PART = 0.5  # part of the bound open to the least worth; the most worth may fill it
 RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many are saved: no retry storms
-REFUSED_MS = 400.0  # come-back time given with refusals where clients hear it
-OVER_SHARE = 1.1  # a tenant is over its share beyond this multiple of our part of its quota
+REFUSED_MS, OVER_SHARE = 400.0, 1.1  # come-back time with refusals; a tenant's most of our quota
 DEAD_OK, HEAL = 0.4, 0.04  # health below which a server is avoided; health regained a bin, to try it again
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
@@ -71,7 +66,8 @@
     """One attempt: where it went, when, and whether it may have run."""
 
     def __init__(self, server: Server, cls: int, now: float, cold: bool) -> None:
-        self.server, self.cls, self.sent, self.cold, self.live, self.unrun = server, cls, now, cold, True, False
+        self.server, self.cls, self.sent, self.cold = server, cls, now, cold
+        self.live, self.unrun = True, False
         self.zone, self.cell, self.build = server.entry.zone, server.entry.cell, server.entry.build
 
 
@@ -121,7 +117,7 @@
     df = len(a) + len(b) - 2
     spread = ((len(a) - 1) * variance(a) + (len(b) - 1) * variance(b)) / df
     if spread <= 0:
-        return 1.0 if fmean(a) == fmean(b) else 0.0
+        return float(fmean(a) == fmean(b))
     angle = math.atan(abs(fmean(a) - fmean(b)) / math.sqrt(spread * (1 / len(a) + 1 / len(b)) * df))
     cos2, term, total = math.cos(angle) ** 2, 1.0, 0.0
     for k in range(df % 2, df - 1, 2):
@@ -151,17 +147,14 @@
     def __init__(self, settings: it.Settings, seed: int) -> None:
         self.s, self.roll, self.n = settings, settings.rollout, len(settings.classes)
         self.rng, self.now, self.out = random.Random(seed), 0.0, list[it.Action]()
-        self.servers: dict[int, Server] = {}
-        self.jobs: dict[int, Job] = {}
-        self.held = dict[int, float]()  # requests that could not be sent: when to give up
-        self.away: dict[tuple[int, int], Attempt] = {}  # attempts without an outcome
+        self.servers, self.jobs = dict[int, Server](), dict[int, Job]()
+        self.held, self.away = dict[int, float](), dict[tuple[int, int], Attempt]()  # unsent, unanswered
         # a window of requests a little short and of attempts a little long: edges fall between two ticks
         self.asked = [Window(self.roll.window_ms - 4 * settings.tick_ms) for _ in settings.classes]
         self.tries: dict[tuple[int, int], Window] = {}  # (build, class): attempts in the exposure window
         self.taken, self.by_tenant = Window(settings.rules.fall_ms), [Window(1e3) for _ in settings.tenants]
         self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
-        self.usual = [c.aim_ms / 4 for c in settings.classes]  # usual latency by class, then
-        self.speed = dict[int, float]()  # log latency of a machine kind over it
+        self.usual, self.speed = [c.aim_ms / 4 for c in settings.classes], dict[int, float]()  # log, by kind
         self.retries, self.next_bin, self.next_watch = RETRY_MOST, 0.0, math.inf
         self.news = it.StageNews(0, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, 0.0)
         self.baseline = [deque[float](maxlen=BASELINE_BINS * PAIRS_A_BIN) for _ in range(2 * self.n)]
@@ -170,8 +163,8 @@
         self.pools = {name: deque[list[float]](maxlen=POOL_BINS) for name in ("own", "tally")}
         self.points, self.before = deque[float](maxlen=POINTS_MOST), dict[int, float]()  # before: last errors
         self.late_bins, self.worse_bins, self.tripped, self.vote_at = 0, 0, "", -math.inf
-        self.last_vote: tuple[int, int, it.Verdict] | None = None
-        self.began, self.midway, self.shared = math.inf, False, False  # started while a build was on trial?
+        self.last_vote, self.shared = (0, 0, it.Verdict.NONE), False
+        self.began, self.midway = math.inf, False  # midway: started while a build was on trial
 
     def handle(self, now: float, event: it.Event) -> list[it.Action]:
         """What to do about one event; one that we have no use for is passed over."""
@@ -180,8 +173,8 @@
         return self.out
 
     def _started(self, _: it.Started) -> None:
-        self.next_bin = self.now + BIN_MS
-        self.next_watch = self.now if self.s.discovery is it.Discovery.ASK else math.inf
+        asks = self.s.discovery is it.Discovery.ASK
+        self.next_bin, self.next_watch = self.now + BIN_MS, self.now if asks else math.inf
         self._timerfired(it.TimerFired(0))
 
     def _timerfired(self, _: it.TimerFired) -> None:
@@ -214,19 +207,17 @@
     def _stagenews(self, news: it.StageNews) -> None:
         if news.status is not it.Status.OK:  # our vote may not count: vote again soon
             self.vote_at = min(self.vote_at, self.now - self.roll.vote_life_ms + BIN_MS)
-            return
-        if news.build < self.news.build:
+        if news.status is not it.Status.OK or news.build < self.news.build:
             return
         if self.began == math.inf:
             self.began, self.midway = self.now, news.phase is it.Phase.TRIAL
         old, self.news = self.news, news
         if news.build != old.build:  # nothing seen of the last build speaks of this one
             self.fresh, self.heard, self.tripped = [0.0] * len(self.fresh), [0.0] * len(self.fresh), ""
-            for pool in self.pools.values():
-                pool.clear()
+            self.pools = {name: deque(maxlen=POOL_BINS) for name in self.pools}
         if (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.points.clear()
-            self.late_bins, self.worse_bins, self.last_vote = 0, 0, None
+            self.late_bins, self.worse_bins, self.last_vote = 0, 0, (0, 0, it.Verdict.NONE)
             if news.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN):
                 self.answered.clear()
 
@@ -255,19 +246,18 @@
             self.usual[cls] += (latency - self.usual[cls]) * 0.03 if good and calm else 0.0
             if attempt.build <= self.news.build and not attempt.cold:  # any build is slow on a cold server
                 earlier = attempt.build < self.news.build
-                log -= self.speed.get(kind, 0.0)  # and a slow kind of machine is no slow build
-                self.speed[kind] = self.speed.get(kind, 0.0) + 0.03 * log * earlier * calm
-                at = 4 * self.n + 3 * earlier
+                log -= self.speed.setdefault(kind, 0.0)  # and a slow kind of machine is no slow build
+                self.speed[kind] += 0.03 * log * earlier * calm
                 for i in range(3):
-                    self.fresh[at + i] += log ** i
+                    self.fresh[4 * self.n + 3 * earlier + i] += log ** i
         if good or status is it.Status.ERROR:  # lost connections and full queues tell of machines, not builds
             server.bin[cls].append(latency if good else math.nan)
             self._book(self.fresh, attempt.build, cls, 1, not good)
 
     def _complaint(self, event: it.Complaint) -> None:
-        server = self.servers.get(event.server)
-        if server:  # a wrong answer was counted as good when it passed
+        if server := self.servers.get(event.server):  # a wrong answer was counted as good when it passed
             self._book(self.fresh, server.entry.build, event.cls, 0, 1)
+            server.bin[event.cls].append(math.nan)
 
     def _tally(self, event: it.Tally) -> None:
         row = [0.0] * len(self.fresh)
@@ -314,7 +304,8 @@
 
     def _distances(self, ones: list[deque[float]], others: list[deque[float]]) -> list[float]:
         """Distances of a few random pairs of series."""
-        pairs = [(self.rng.choice(ones), self.rng.choice(others)) for _ in range(PAIRS_A_BIN) if ones and others]
+        draw, times = self.rng.choice, PAIRS_A_BIN if ones and others else 0
+        pairs = [(draw(ones), draw(others)) for _ in range(times)]
         return [distance(a, b) for a, b in pairs if a is not b and min(len(a), len(b)) >= 2]
 
     # --- voting ---
@@ -353,7 +344,7 @@
             return False  # all slower, by a burst or by the build; its servers not seen; too new here to tell
         failing = any(x >= 2 and x > 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
         least = CLASS_LEAST * (1 + self.news.stage)
-        seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(row[0] for row in rows) >= least for rows, _ in pools)
+        seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(rows)[0] >= least for rows, _ in pools)
         return seen and not (failing and self.shared)
 
     def _breaker(self, trial: list[Server], earlier: list[Server]) -> str:
@@ -384,7 +375,7 @@
         told = late and self.news.phase is it.Phase.TRIAL and sum(s.hits[-1][0] for s in trial) >= 2 * self.n
         self.late_bins = self.late_bins + 1 if told else 0
         self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE_BACK else 0
-        slower = f"all {math.exp(self._worse()):.2f} times slower since it came" if self.worse_bins >= WORSE_BINS else ""
+        slower = "all servers slower since it came" if self.worse_bins >= WORSE_BINS else ""
         return f"late class {late[0]}" if self.late_bins >= LATE_BINS else slower
 
     def _worse(self) -> float:
@@ -419,12 +410,12 @@
         used = {a.server.id for a in job.attempts}
         can = [s for s in can if s.ok >= DEAD_OK and s.id not in used] or can
         near = [s for s in can if s.entry.zone == self.s.zone and self.s.cross_zone_price] or can
-        return min(self.rng.choice(near), self.rng.choice(can), key=self._cost) if can else None  # DESIGN: of two
+        return min(self.rng.choice(near), self.rng.choice(can), key=self._cost) if can else None  # DESIGN
 
     def _fill(self, job: Job) -> bool:
         """DESIGN: trial first sends fill the cap; ours: not beyond an even share a trial server."""
-        ready = [s for s in self.servers.values() if s.ready]
-        weights = [s.entry.weight * math.exp(-self.speed.get(s.entry.kind, 0.0)) * self._able(s) * s.ok for s in ready]
+        ready, speed = [s for s in self.servers.values() if s.ready], self.speed.get
+        weights = [s.entry.weight * self._able(s) * s.ok / math.exp(speed(s.entry.kind, 0.0)) for s in ready]
         trial = [i for i, s in enumerate(ready) if self._cap(s.entry.build) is not None]
         new, new_weight = max(ready[i].entry.build for i in trial), sum(weights[i] for i in trial)
         tries, asked = self._exposed(new, job.cls)
@@ -436,11 +427,11 @@
 
     def _part(self, request: it.Request) -> float:
         """Part of a server's bound open to a request: the least worth for its work is refused first."""
-        worth = [c.worth / (1 if self.s.worth_by_work else u) for c, u in zip(self.s.classes, self.usual, strict=True)]
+        worth = [c.worth * (self.s.worth_by_work or 1 / self.usual[i]) for i, c in enumerate(self.s.classes)]
         rank = worth[request.cls] / max(*worth, 1e-9)
-        quota = OVER_SHARE / self.s.agents * self.s.tenants[request.tenant].quota_per_s if self.by_tenant else 0.0
-        if self.by_tenant and self.by_tenant[request.tenant].count(self.now) > quota:
-            rank *= self.s.over_share_worth
+        if self.by_tenant:
+            quota = OVER_SHARE * self.s.tenants[request.tenant].quota_per_s / self.s.agents
+            rank *= self.s.over_share_worth if self.by_tenant[request.tenant].count(self.now) > quota else 1.0
         return LEAST_PART + (1 - LEAST_PART) * rank
 
     # --- request life ---
@@ -463,7 +454,7 @@
             return
         self.held.pop(job.id, None)
         self.retries = self.retries - 1 if job.attempts else min(self.retries + RETRY_PART, RETRY_MOST)
-        cold, leg = self._age(server) < self.s.rules.cold_ms + 2 * BIN_MS, (job.id, len(job.attempts))
+        leg, cold = (job.id, len(job.attempts)), self._age(server) < self.s.rules.cold_ms + 2 * BIN_MS
         attempt = self.away[leg] = Attempt(server, job.cls, self.now, cold)
         server.open[leg] = self.now
         server.sent.times.append(self.now)
@@ -474,14 +465,12 @@
         self.out.append(it.Send(job.id, server.id, job.useful))
 
     def _outcome(self, event: it.Outcome) -> None:
-        attempt = self.away.pop((event.request, event.attempt), None)
-        if attempt is None:
+        if not (attempt := self.away.pop((event.request, event.attempt), None)):
             return
         attempt.live, attempt.unrun = False, event.status in UNRUN
         attempt.server.open.pop((event.request, event.attempt), None)
         self._learn(attempt, event.status, max(event.latency_ms, 1.0))
-        job = self.jobs.get(event.request)
-        if job is None:
+        if not (job := self.jobs.get(event.request)):
             return
         if event.status is it.Status.OK and self.roll.one_way and job.request.key:
             self.answered[job.request.key] = max(self.answered.get(job.request.key, 0), attempt.build)
@@ -542,8 +531,7 @@
                     it.Scope.CELL: entry.cell != ran[0].cell}[cls.scope]
             if cls.effect is it.Effect.KEYED and (away or self.now - ran[0].sent >= cls.repeat_window_ms):
                 return False
-        cap = self._cap(entry.build)
-        if cap is not None:  # rule 5
+        if (cap := self._cap(entry.build)) is not None:  # rule 5
             stage = self.news.stage if entry.build == self.news.build else 0
             guarded = stage < self.roll.guarded_stages and cls.effect is not it.Effect.SAFE
             tries, asked = self._exposed(entry.build, job.cls)
@@ -551,6 +539,6 @@
                 return False
         if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: our part of a cold server's budget
             even = self.taken.count(self.now) / sum(s.ready for s in self.servers.values())
-            budget = COLD_PART * rules.fall_multiple * self._able(server) * even
-            return server.sent.count(self.now) + 1 <= max(1.0, budget)
+            most = max(1.0, COLD_PART * rules.fall_multiple * self._able(server) * even)
+            return server.sent.count(self.now) + 1 <= most
         return True
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -188,7 +188,7 @@
 def test_under_clock_control_only_back_votes_are_cast() -> None:
     changes = {"rollout": {"control": it.Control.TIMER}}
     assert not trial(good, **changes)
-    assert {v.verdict for v in trial(one_class_fails, seconds=30.0, **changes)} <= {it.Verdict.BACK}
+    assert {v.verdict for v in trial(one_class_fails, seconds=30.0, **changes)} == {it.Verdict.BACK}
 
 
 def test_a_restarted_agent_votes_with_nothing_but_its_list() -> None:
