A tardy answer cuts a bound by its part only; shares by part of traffic

Cause: one long request on an idle server cut its bound to two, and with other agents down every tenant looked over its share.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -30,7 +30,7 @@
 SHRINK, SHRINK_MS = 0.85, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 LEAST_PART = 0.5  # part of the bound open to the least worth; the most worth may fill it
 RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many are saved: no retry storms
-REFUSED_MS, OVER_SHARE = 400.0, 1.1  # come-back time with refusals; a tenant's most of our quota
+REFUSED_MS, OVER_SHARE = 400.0, 1.25  # come-back time with refusals; times a tenant's share: over it
 DEAD_OK, HEAL = 0.4, 0.04  # health below which a server is avoided; health regained a bin, to try it again
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
@@ -238,7 +238,7 @@
         if good and latency < QUICK * aim:
             server.limit += 0.5 if len(server.open) >= LEAST_PART * server.limit else 0.0
         elif (latency > TARDY * aim or status in UNRUN) and self.now - server.shrunk > SHRINK_MS:
-            server.limit, server.shrunk = max(min(server.limit, len(server.open) + 1) * SHRINK, 1.0), self.now
+            server.limit, server.shrunk = max(server.limit * SHRINK, 1.0), self.now
         if good or status is it.Status.TIMEOUT:
             log, kind = math.log(latency / self.usual[cls]), server.entry.kind
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
@@ -429,9 +429,9 @@
         """Part of a server's bound open to a request: the least worth for its work is refused first."""
         worth = [c.worth * (self.s.worth_by_work or 1 / self.usual[i]) for i, c in enumerate(self.s.classes)]
         rank = worth[request.cls] / max(*worth, 1e-9)
-        if self.by_tenant:
-            quota = OVER_SHARE * self.s.tenants[request.tenant].quota_per_s / self.s.agents
-            rank *= self.s.over_share_worth if self.by_tenant[request.tenant].count(self.now) > quota else 1.0
+        if self.by_tenant:  # by its part of what comes here: a rate would wrong all once other agents are down
+            fair = OVER_SHARE * self.s.tenants[request.tenant].share * sum(w.count(self.now) for w in self.by_tenant)
+            rank *= self.s.over_share_worth if self.by_tenant[request.tenant].count(self.now) > fair else 1.0
         return LEAST_PART + (1 - LEAST_PART) * rank
 
     # --- request life ---
