--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -27,11 +27,10 @@
 FILL, FAIR, COLD_PART = 0.95, 1.15, 0.85  # most used of the cap, of an even trial share, of a cold budget
 HOLD_PART, CROSS = 0.25, 1.3  # part of its aim a request is held while none may go; a crossing's cost
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.4, 0.75  # own open work a server may hold at first; parts of the aim:
-SHRINK, SHRINK_MS = 0.85, 100.0  # quicker answers add to it, tardier ones take away, so often at most
-LEAST_PART = 0.5  # part of the bound open to the least worth; the most worth may fill it
+SHRINK, SHRINK_MS = 0.75, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many are saved: no retry storms
 REFUSED_MS, OVER_SHARE = 400.0, 1.25  # come-back time with refusals; times a tenant's share: over it
-DEAD_OK, HEAL = 0.4, 0.04  # health below which a server is avoided; health regained a bin, to try it again
+LEAST_PART, DEAD_OK, HEAL = 0.5, 0.4, 0.04  # part of a bound open to least worth; health avoided, regained a bin
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
 
@@ -238,7 +237,8 @@
         if good and latency < QUICK * aim:
             server.limit += 0.5 if len(server.open) >= LEAST_PART * server.limit else 0.0
         elif (latency > TARDY * aim or status in UNRUN) and self.now - server.shrunk > SHRINK_MS:
-            server.limit, server.shrunk = max(server.limit * SHRINK, 1.0), self.now
+            server.shrunk = self.now
+            server.limit = max(min(server.limit, 2.0 * len(server.open) + 2.0) * SHRINK, 1.0)
         if good or status is it.Status.TIMEOUT:
             log, kind = math.log(latency / self.usual[cls]), server.entry.kind
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
@@ -429,9 +429,10 @@
         """Part of a server's bound open to a request: the least worth for its work is refused first."""
         worth = [c.worth * (self.s.worth_by_work or 1 / self.usual[i]) for i, c in enumerate(self.s.classes)]
         rank = worth[request.cls] / max(*worth, 1e-9)
-        if self.by_tenant:  # by its part of what comes here: a rate would wrong all once other agents are down
-            fair = OVER_SHARE * self.s.tenants[request.tenant].share * sum(w.count(self.now) for w in self.by_tenant)
-            rank *= self.s.over_share_worth if self.by_tenant[request.tenant].count(self.now) > fair else 1.0
+        if self.by_tenant:  # by its part of what comes here: a rate wrongs all once other agents are down
+            sent = [window.count(self.now) for window in self.by_tenant]
+            over = sent[request.tenant] > OVER_SHARE * self.s.tenants[request.tenant].share * sum(sent)
+            rank *= self.s.over_share_worth if over else 1.0
         return LEAST_PART + (1 - LEAST_PART) * rank
 
     # --- request life ---
