Trial level is judged against the usual where earlier servers idle

Cause: late in a trial the earlier servers hold little and answer quicker than usual, so a good build under overload looked 2.8 times slower and went back.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -15,22 +15,22 @@
 BIN_MS, DEEP, LATE_BINS = 500.0, 8, 3  # DESIGN: half-second bins, eight deep; late ones running that break
 PAIRS_LEAST, PAIRS_A_BIN, BASELINE_BINS = 20, 4, 60  # DESIGN: 20 pairs over 30 s; ours: pairs a bin
 OUTCOMES_LEAST, FRESH_MS = 20, 2000.0  # DESIGN: trial outcomes for a vote; servers listed later are left out
+CLASS_LEAST, LEARN, SIGMAS = 3, 0.03, 2.3  # outcomes a class, times the stage; learning rate; sure of a level
 PASS_MEAN, SETTLED_P = 0.9, 0.05  # DESIGN: mean to go on, t-test level; ours: least and most points tested,
 POINTS_LEAST, POINTS_MOST, POOL_BINS, TICK_MS = 4, 12, 40, 50.0  # bins of evidence, looks at held requests
 ERROR_MARGIN = 0.025  # DESIGN: five points over the earlier build; half, as late failures start small
 CHANCE, SURE = 0.01, 0.001  # extra error share laid to chance; a breaker is sure when that is rarer
-CLASS_LEAST = 3  # trial outcomes of each class before going on, times the stage's number: it exposes more
 LEVEL_LEAST, SERVER_NOISE = 20, 0.08  # latencies behind a level; variance of log latency among alike servers
 LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
 WORSE_HOLD, WORSE_BACK, WORSE_BINS = math.log(1.4), math.log(1.6), 14  # all slower: no step; so long: back
 SEEN_PART, SETTLE_MS = 0.7, 15000.0  # a stage's servers seen before a step; restarted agents wait
 FILL, FAIR, COLD_PART = 0.95, 1.15, 0.85  # most used of the cap, of an even trial share, of a cold budget
-HOLD_PART, CROSS = 0.25, 1.3  # part of its aim a request is held while none may go; a crossing's cost
+HOLD_PART, CROSS, REFUSED_MS = 0.25, 1.3, 400.0  # held for this part of the aim; crossing cost; come-back
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.4, 0.75  # own open work a server may hold at first; parts of the aim:
 SHRINK, SHRINK_MS = 0.75, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many are saved: no retry storms
-REFUSED_MS, OVER_SHARE = 400.0, 1.25  # come-back time with refusals; times a tenant's share: over it
-LEAST_PART, DEAD_OK, HEAL = 0.5, 0.4, 0.04  # part of a bound open to least worth; health avoided, regained a bin
+OVER_SHARE, LEAST_PART = 1.25, 0.5  # times its share a tenant is over it; part of a bound open to least worth
+DEAD_OK, HEAL = 0.4, 0.04  # health below which a server is avoided; health regained a bin, to try it again
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
 
@@ -54,8 +54,7 @@
     def __init__(self, entry: it.ServerEntry, now: float, classes: int, fall_ms: float) -> None:
         self.id, self.entry, self.listed, self.ready = entry.server, entry, now, True
         self.open: dict[tuple[int, int], float] = {}  # own attempts out there: when sent
-        self.ok, self.slow, self.limit, self.shrunk = 1.0, 1.0, OPEN_FIRST, 0.0
-        self.sent = Window(fall_ms)
+        self.ok, self.slow, self.limit, self.shrunk, self.sent = 1.0, 1.0, OPEN_FIRST, 0.0, Window(fall_ms)
         self.bin: list[list[float]] = [[] for _ in range(classes)]  # this bin's latencies, nan for an error
         self.series = [deque[float](maxlen=DEEP) for _ in range(2 * classes)]  # by class: errors, latency
         self.hits = deque([(0, 0)], maxlen=POOL_BINS)  # outcomes and errors of each bin
@@ -75,9 +74,9 @@
 
     def __init__(self, request: it.Request, now: float, cls: it.RequestClass) -> None:
         self.request, self.id, self.cls = request, request.request, request.cls
-        stretch = cls.aim_stretch * (request.work_hint_ms if request.hinted else 0.0)
+        aim = cls.aim_ms + cls.aim_stretch * (request.work_hint_ms if request.hinted else 0.0)
         # past its aim an answer may be worth nothing: the time-out there frees the server for others
-        useful = cls.deadline_ms if cls.late_worth > 0 else min(cls.aim_ms + stretch, cls.deadline_ms)
+        useful = cls.deadline_ms if cls.late_worth > 0 else min(aim, cls.deadline_ms)
         self.until, self.useful = now + request.budget_ms, now + min(request.budget_ms, useful)
         self.attempts: list[Attempt] = []
 
@@ -146,8 +145,8 @@
     def __init__(self, settings: it.Settings, seed: int) -> None:
         self.s, self.roll, self.n = settings, settings.rollout, len(settings.classes)
         self.rng, self.now, self.out = random.Random(seed), 0.0, list[it.Action]()
-        self.servers, self.jobs = dict[int, Server](), dict[int, Job]()
-        self.held, self.away = dict[int, float](), dict[tuple[int, int], Attempt]()  # unsent, unanswered
+        self.servers, self.jobs, self.held = dict[int, Server](), dict[int, Job](), dict[int, float]()
+        self.away: dict[tuple[int, int], Attempt] = {}  # attempts without an outcome
         # a window of requests a little short and of attempts a little long: edges fall between two ticks
         self.asked = [Window(self.roll.window_ms - 4 * settings.tick_ms) for _ in settings.classes]
         self.tries: dict[tuple[int, int], Window] = {}  # (build, class): attempts in the exposure window
@@ -172,8 +171,8 @@
         return self.out
 
     def _started(self, _: it.Started) -> None:
-        asks = self.s.discovery is it.Discovery.ASK
-        self.next_bin, self.next_watch = self.now + BIN_MS, self.now if asks else math.inf
+        self.next_bin, asks = self.now + BIN_MS, self.s.discovery is it.Discovery.ASK
+        self.next_watch = self.now if asks else math.inf
         self._timerfired(it.TimerFired(0))
 
     def _timerfired(self, _: it.TimerFired) -> None:
@@ -208,7 +207,7 @@
             self.vote_at = min(self.vote_at, self.now - self.roll.vote_life_ms + BIN_MS)
         if news.status is not it.Status.OK or news.build < self.news.build:
             return
-        if self.began == math.inf:
+        if self.news.build == 0:
             self.began, self.midway = self.now, news.phase is it.Phase.TRIAL
         old, self.news = self.news, news
         if news.build != old.build:  # nothing seen of the last build speaks of this one
@@ -224,15 +223,15 @@
     def _book(self, row: list[float], build: int, cls: int, outcomes: int, errors: int) -> None:
         """Add outcomes of the build judged, or of an earlier one, to an evidence row."""
         if build <= self.news.build:
-            at = 4 * cls + 2 * (build < self.news.build)
-            row[at], row[at + 1] = row[at] + outcomes, row[at + 1] + errors
+            for i, count in enumerate((outcomes, errors), 4 * cls + 2 * (build < self.news.build)):
+                row[i] += count
 
     def _learn(self, attempt: Attempt, status: it.Status, latency: float) -> None:
         """Book one outcome to its server, its class and its build."""
         server, cls, aim = attempt.server, attempt.cls, self.s.classes[attempt.cls].aim_ms
+        good = status is it.Status.OK
         if status in (it.Status.CANCELLED, it.Status.MOOT):
             return
-        good = status is it.Status.OK
         server.ok += (good - server.ok) * (0.5 if status in UNRUN else 0.2)
         if good and latency < QUICK * aim:
             server.limit += 0.5 if len(server.open) >= LEAST_PART * server.limit else 0.0
@@ -243,11 +242,11 @@
             log, kind = math.log(latency / self.usual[cls]), server.entry.kind
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
             calm = self.news.phase is not it.Phase.TRIAL  # on trial, the usual stays what it was before
-            self.usual[cls] += (latency - self.usual[cls]) * 0.03 if good and calm else 0.0
+            self.usual[cls] += (latency - self.usual[cls]) * LEARN if good and calm else 0.0
             if attempt.build <= self.news.build and not attempt.cold:  # any build is slow on a cold server
                 earlier = attempt.build < self.news.build
                 log -= self.speed.setdefault(kind, 0.0)  # and a slow kind of machine is no slow build
-                self.speed[kind] += 0.03 * log * earlier * calm
+                self.speed[kind] += LEARN * log * earlier * calm
                 for i in range(3):
                     self.fresh[4 * self.n + 3 * earlier + i] += log ** i
         if good or status is it.Status.ERROR:  # lost connections and full queues tell of machines, not builds
@@ -336,7 +335,8 @@
         """Could the evidence have shown a failing class? A quiet agent leaves the vote to others."""
         pools = [self._totals(name) for name in self.pools]
         n1, s1, _, n0, s0, _ = pools[0][1]
-        if self.news.stage and n0 >= LEVEL_LEAST and (n1 < LEVEL_LEAST or s1 / n1 - s0 / n0 > LEVEL_BACK):
+        level = s1 / n1 - max(s0 / n0, 0.0) if min(n1, n0) >= LEVEL_LEAST else math.inf
+        if self.news.stage and n0 >= LEVEL_LEAST and level > LEVEL_BACK:
             return False  # by now servers of the first stage are warm, so a slow build can be told
         places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
         unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
@@ -362,11 +362,11 @@
                         int(max(n, x)), int(x), usual + CHANCE) < SURE:
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
             if self.news.phase is it.Phase.TRIAL and trial and earlier and min(n1, n0) >= LEVEL_LEAST:
-                m1, m0 = s1 / n1, s0 / n0
-                noise = math.sqrt(max(q1 / n1 - m1 * m1, 0.1) / n1 + max(q0 / n0 - m0 * m0, 0.1) / n0
+                m1, m0 = s1 / n1, max(s0 / n0, 0.0)  # idle earlier servers are quicker than usual
+                noise = math.sqrt(max(q1 / n1 - m1 * m1, 0.1) / n1 + max(q0 / n0 - (s0 / n0) ** 2, 0.1) / n0
                                   + SERVER_NOISE / len(trial))
-                if m1 - m0 - 2.3 * noise > LEVEL_BACK and (
-                        median(s.slow for s in trial) > LEVEL_ALL * median(s.slow for s in earlier)):
+                most = median(s.slow for s in trial) / max(1.0, median(s.slow for s in earlier)) > LEVEL_ALL
+                if most and m1 - m0 - SIGMAS * noise > LEVEL_BACK:
                     return f"level {name}: {math.exp(m1 - m0):.2f} times the earlier, {n1:.0f} to {n0:.0f}"
         mid = [[median([s.series[2 * c + 1][-1] for s in group if s.series[2 * c + 1]] or [0.0])
                 for c in range(self.n)] for group in (trial, earlier)]
@@ -375,8 +375,8 @@
         told = late and self.news.phase is it.Phase.TRIAL and sum(s.hits[-1][0] for s in trial) >= 2 * self.n
         self.late_bins = self.late_bins + 1 if told else 0
         self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE_BACK else 0
-        slower = "all servers slower since it came" if self.worse_bins >= WORSE_BINS else ""
-        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else slower
+        slow = "all slower since it came" if self.worse_bins >= WORSE_BINS else ""
+        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else slow
 
     def _worse(self) -> float:
         """Log latency of the earlier build's servers over their usual before the build judged was offered."""
