--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -207,3 +207,39 @@
     for _ in range(8):
         drive.give(it.Complaint(0, 20, 1500.0))
     assert it.Verdict.BACK in {v.verdict for v in play(drive, good, 1.0)}
+
+
+def test_no_step_on_while_all_servers_are_slower_than_before() -> None:
+    """A burst, a shared slowdown, or a build that slows old and new alike: the picture must clear first."""
+    assert trial(everything_slow) == []
+
+
+def test_a_build_that_slows_all_servers_for_long_goes_back() -> None:
+    drive = Drive(servers=8)
+    play(drive, good, 8.0)
+    drive.news(2, 1, it.Phase.TRIAL, 0.5)
+    drive.list(*[entry(20 + i, build=2, started=drive.now) for i in range(4)])
+    votes = play(drive, everything_slow, 20.0)
+    assert votes and {v.verdict for v in votes} == {it.Verdict.BACK}
+
+
+def test_idle_earlier_servers_are_no_measure() -> None:
+    """Late in a trial the earlier servers hold little and answer quicker than before the offer."""
+
+    def idle(server: int, cls: int, rng: random.Random) -> tuple[it.Status, float]:
+        return it.Status.OK, rng.lognormvariate(4.6, 0.5) * (1.0 if server >= 20 else 0.35)
+
+    drive = Drive(servers=8)
+    play(drive, good, 8.0)
+    drive.news(2, 1, it.Phase.TRIAL, 0.6)
+    drive.list(*[entry(20 + i, build=2, started=drive.now) for i in range(6)])
+    assert it.Verdict.BACK not in {v.verdict for v in play(drive, idle, 20.0)}
+
+
+def test_an_on_vote_is_taken_back_when_its_grounds_fall_away() -> None:
+    drive = Drive(servers=8)
+    play(drive, good, 8.0)
+    drive.news(2, 0, it.Phase.TRIAL, 0.14)
+    drive.list(entry(20, build=2, started=drive.now))
+    assert {v.verdict for v in play(drive, good, 15.0)} == {it.Verdict.ON}
+    assert play(drive, everything_slow, 6.0)[-1].verdict is it.Verdict.NONE
