--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -150,7 +150,7 @@
         # a window of requests a little short and of attempts a little long: edges fall between two ticks
         self.asked = [Window(self.roll.window_ms - 4 * settings.tick_ms) for _ in settings.classes]
         self.tries: dict[tuple[int, int], Window] = {}  # (build, class): attempts in the exposure window
-        self.taken, self.by_tenant = Window(settings.rules.fall_ms), [Window(1e3) for _ in settings.tenants]
+        self.sent, self.by_tenant = Window(settings.rules.fall_ms), [Window(1e3) for _ in settings.tenants]
         self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
         self.usual, self.speed = [c.aim_ms / 4 for c in settings.classes], dict[int, float]()  # log, by kind
         self.retries, self.next_bin, self.next_watch = RETRY_MOST, 0.0, math.inf
@@ -439,7 +439,6 @@
     def _request(self, request: it.Request) -> None:
         job = self.jobs[request.request] = Job(request, self.now, self.s.classes[request.cls])
         self.asked[request.cls].times.append(self.now)
-        self.taken.times.append(self.now)
         if self.by_tenant:
             self.by_tenant[request.tenant].times.append(self.now)
         self._send(job)
@@ -459,6 +458,7 @@
         attempt = self.away[leg] = Attempt(server, job.cls, self.now, cold)
         server.open[leg] = self.now
         server.sent.times.append(self.now)
+        self.sent.times.append(self.now)
         job.attempts.append(attempt)
         if self._cap(attempt.build) is not None:
             span = self.roll.window_ms + 2 * self.s.tick_ms
@@ -538,8 +538,8 @@
             tries, asked = self._exposed(entry.build, job.cls)
             if cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked:
                 return False
-        if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: our part of a cold server's budget
-            even = self.taken.count(self.now) / sum(s.ready for s in self.servers.values())
-            most = max(1.0, COLD_PART * rules.fall_multiple * self._able(server) * even)
-            return server.sent.count(self.now) + 1 <= most
+        if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, as repeats asked make none abler
+            even = self.sent.count(self.now) / sum(s.ready for s in self.servers.values())
+            budget = COLD_PART * rules.fall_multiple * self._able(server) * even
+            return server.sent.count(self.now) + 1 <= max(1.0, budget)
         return True
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -245,3 +245,17 @@
         return drive.all
 
     assert run() == run()
+
+
+def test_requests_that_were_refused_do_not_widen_a_cold_budget() -> None:
+    """A burst of clients asking again raised the own rate without making the cold server any abler."""
+    drive = Drive(servers=2)
+    drive.list(entry(4, started=drive.now))
+    sent, cold = 0, 0
+    for _ in range(200):  # nothing is answered: bounds fill, the rest is held or refused
+        drive.now += 2.0
+        for send in sends(drive.ask()[1]):
+            sent += 1
+            cold += send.server == 4
+    assert sent < 60
+    assert cold <= max(1.0, 0.85 * 3.0 * 0.4 * sent / 3 + 1)
