Even share of trial sends from 1.15 to 1.3

Cause: uses_cap stood at 0.48 to 0.56; trial sends are spread now, so a little more load does no harm.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -24,7 +24,7 @@
 LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
 WORSE_HOLD, WORSE_BACK, WORSE_BINS = math.log(1.4), math.log(1.4), 14  # all slower: no step; so long: back
 SEEN_PART, SETTLE_MS = 0.7, 20000.0  # a stage's servers seen before a step; restarted agents wait
-FILL, FAIR, COLD_PART = 0.95, 1.15, 0.85  # most used of the cap, of an even trial share, of a cold budget
+FILL, FAIR, COLD_PART = 0.95, 1.3, 0.85  # most used of the cap, of an even trial share, of a cold budget
 HOLD_PART, CROSS, REFUSED_MS = 0.25, 1.3, 400.0  # held for this part of the aim; crossing cost; come-back
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.35, 0.6  # own open work a server may hold at first; parts of the aim:
 SHRINK, SHRINK_MS = 0.75, 100.0  # quicker answers add to it, tardier ones take away, so often at most
@@ -538,7 +538,7 @@
             tries, asked = self._exposed(entry.build, job.cls)
             if cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked:
                 return False
-        if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, as repeats asked make none abler
+        if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, not what was asked
             even = self.sent.count(self.now) / sum(s.ready for s in self.servers.values())
             budget = COLD_PART * rules.fall_multiple * self._able(server) * even
             return server.sent.count(self.now) + 1 <= max(1.0, budget)
