--- /dev/null
+++ b/tests/test_settings_elsewhere.py
@@ -0,0 +1,70 @@
+"""Settings that today's deployments do not use: the module keeps the rules and does something sensible."""
+
+from dataclasses import replace
+
+import pytest
+from helpers import Drive, entry, kinds, sends, settings
+
+from otterquay import interface as it
+
+
+def test_a_list_that_must_be_asked_for_is_asked_for_and_again_after_a_failure() -> None:
+    drive = Drive(settings(discovery=it.Discovery.ASK))
+    assert drive.all.count(it.Watch(True)) == 1
+    for _ in range(30):
+        drive.tick()
+    assert drive.all.count(it.Watch(True)) == 1, "a subscription that stands is not asked for again"
+    drive.give(it.ServerList(it.ListKind.FAILED, 0, ()))
+    for _ in range(11):
+        drive.tick()
+    assert drive.all.count(it.Watch(True)) == 2
+
+
+def test_a_failed_list_leaves_the_old_one_in_force() -> None:
+    drive = Drive(servers=2)
+    drive.give(it.ServerList(it.ListKind.FAILED, 0, ()))
+    assert sends(drive.ask()[1])
+
+
+@pytest.mark.parametrize("tenants", [(), (it.Tenant("a", 5.0, 0.5), it.Tenant("b", 5.0, 0.5))])
+def test_with_and_without_tenants(tenants: tuple[it.Tenant, ...]) -> None:
+    drive = Drive(settings(tenants=tenants, over_share_worth=0.05))
+    assert all(sends(drive.ask(tenant=0)[1]) for _ in range(4))
+
+
+def test_a_streamed_answer_that_has_begun_is_left_alone() -> None:
+    streamed = replace(settings().classes[0], streamed=True)
+    drive = Drive(settings(classes=(streamed,)))
+    request, actions = drive.ask(budget=500.0)
+    (send,) = sends(actions)
+    assert drive.give(it.Begun(request, 0, send.server, 40.0)) == []
+    for _ in range(30):
+        assert kinds(drive.tick()) == []
+    assert kinds(drive.end(send, it.Status.RESET, over=True)) == []
+
+
+def test_zero_limits_mean_one_attempt_at_most_and_an_answer() -> None:
+    drive = Drive(settings(limits={"max_attempts": 1, "retry_after": False, "max_retry_after_ms": 0.0}))
+    request, actions = drive.ask()
+    assert drive.end(sends(actions)[0], it.Status.FULL) == [it.Refuse(request, 0.0)]
+
+
+def test_a_single_server_that_is_cold_gets_a_trickle_and_the_rest_is_answered() -> None:
+    drive = Drive(servers=0)
+    drive.list(entry(1, started=drive.now))
+    asked = [drive.ask()[0] for _ in range(20)]
+    sent = {s.request for s in sends(drive.all)}
+    assert sent
+    for _ in range(10):
+        drive.tick()
+    answered = {a.request for a in drive.all if isinstance(a, it.Refuse | it.Fail)}
+    sent = {s.request for s in sends(drive.all)}
+    assert sent | answered == set(asked) and not sent & answered
+
+
+def test_events_that_nobody_asked_for_are_passed_over() -> None:
+    drive = Drive()
+    assert drive.give(it.ProbeResult(1, it.Status.OK, 1.0, ())) == []
+    assert drive.give(it.Outcome(9999, 1, 0, it.Status.OK, 5.0, True, ())) == []
+    assert drive.give(it.Abandoned(9999)) == []
+    assert drive.give(it.Complaint(0, 9999, 5.0)) == []
