--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -342,7 +342,7 @@
         unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
         if self._worse() > WORSE_HOLD or unseen or (self.midway and self.now < self.began + SETTLE_MS):
             return False  # all slower, by a burst or by the build; its servers not seen; too new here to tell
-        failing = any(x >= 2 and x > ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
+        failing = any(x >= 2 and x > 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
         least = CLASS_LEAST * (1 + self.news.stage)
         seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(rows)[0] >= least for rows, _ in pools)
         return seen and not (failing and self.shared)
