--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -333,7 +333,7 @@
 
     def _enough(self, trial: list[Server], earlier: list[Server]) -> bool:
         """Could the evidence have shown a failing class? A quiet agent leaves the vote to others."""
-        pools = [self._totals(name, bins) for bins in (POOL_BINS, DEEP) for name in self.pools]
+        pools = [self._totals(name) for name in self.pools]
         n1, s1, _, n0, s0, _ = pools[0][1]
         level = s1 / n1 - max(s0 / n0, 0.0) if min(n1, n0) >= LEVEL_LEAST else math.inf
         if self.news.stage and n0 >= LEVEL_LEAST and level > LEVEL_BACK:
