--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -22,7 +22,7 @@
 CHANCE, SURE = 0.01, 0.001  # extra error share laid to chance; a breaker is sure when that is rarer
 LEVEL_LEAST, SERVER_NOISE = 20, 0.08  # latencies behind a level; variance of log latency among alike servers
 LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
-WORSE_HOLD, WORSE_BACK, WORSE_BINS = math.log(1.4), math.log(1.4), 14  # all slower: no step; so long: back
+WORSE, WORSE_BINS = math.log(1.4), 14  # all servers slower by this: no step on; for so many bins: back
 SEEN_PART, SETTLE_MS = 0.7, 20000.0  # a stage's servers seen before a step; restarted agents wait
 FILL, FAIR, COLD_PART = 0.95, 1.3, 0.85  # most used of the cap, of an even trial share, of a cold budget
 HOLD_PART, CROSS, REFUSED_MS = 0.25, 1.3, 400.0  # held for this part of the aim; crossing cost; come-back
@@ -340,7 +340,7 @@
             return False  # by now servers of the first stage are warm, so a slow build can be told
         places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
         unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
-        if self._worse() > WORSE_HOLD or unseen or (self.midway and self.now < self.began + SETTLE_MS):
+        if self._worse() > WORSE or unseen or (self.midway and self.now < self.began + SETTLE_MS):
             return False  # all slower, by a burst or by the build; its servers not seen; too new here to tell
         failing = any(x >= 2 and x > 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
         least = CLASS_LEAST * (1 + self.news.stage)
@@ -374,7 +374,7 @@
         # ours: not while the earlier build is late too or leaves, nor on an old value that empty bins repeat
         told = late and self.news.phase is it.Phase.TRIAL and sum(s.hits[-1][0] for s in trial) >= 2 * self.n
         self.late_bins = self.late_bins + 1 if told else 0
-        self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE_BACK else 0
+        self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE else 0
         slow = "all slower since it came" if self.worse_bins >= WORSE_BINS else ""
         return f"late class {late[0]}" if self.late_bins >= LATE_BINS else slow
 
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 import pytest
-from helpers import Drive, entry, sends, settings
+from helpers import SETTINGS, Drive, entry, sends, settings
 
 from otterquay import interface as it
 
@@ -66,14 +66,19 @@
     return [a for a in drive.all[before:] if isinstance(a, it.CastVote)]
 
 
-def trial(
-    behave: Server, seconds: float = 20.0, trials: int = 1, seed: int = 1, **changes: object
-) -> list[it.CastVote]:
-    drive = Drive(settings(**changes), servers=8, seed=seed)
+def offered(
+    stage: int = 0, cap: float = 0.14, trials: int = 1, seed: int = 1, config: it.Settings = SETTINGS
+) -> Drive:
+    """An agent with eight earlier servers and eight good seconds behind it, and a build just offered."""
+    drive = Drive(config, servers=8, seed=seed)
     play(drive, good, 8.0)
-    drive.news(2, 0, it.Phase.TRIAL, 0.14)
+    drive.news(2, stage, it.Phase.TRIAL, cap)
     drive.list(*[entry(20 + i, build=2, started=drive.now) for i in range(trials)])
-    return play(drive, behave, seconds)
+    return drive
+
+
+def trial(behave: Server, seconds: float = 20.0, seed: int = 1, **changes: object) -> list[it.CastVote]:
+    return play(offered(seed=seed, config=settings(**changes)), behave, seconds)
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -85,10 +90,7 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_slow_build_goes_back(seed: int) -> None:
-    drive = Drive(servers=8, seed=seed)
-    play(drive, good, 8.0)
-    drive.news(2, 1, it.Phase.TRIAL, 0.5)
-    drive.list(*[entry(20 + i, build=2, started=drive.now) for i in range(3)])
+    drive = offered(stage=1, cap=0.5, trials=3, seed=seed)
     votes = play(drive, slow, 25.0)
     assert votes and {v.verdict for v in votes} == {it.Verdict.BACK}
 
@@ -109,10 +111,7 @@
 
 
 def test_one_failing_machine_among_trial_servers_is_no_bad_build() -> None:
-    drive = Drive(servers=8)
-    play(drive, good, 8.0)
-    drive.news(2, 1, it.Phase.TRIAL, 0.7)
-    drive.list(*[entry(20 + i, build=2, started=drive.now) for i in range(4)])
+    drive = offered(stage=1, cap=0.7, trials=4)
     assert it.Verdict.BACK not in {v.verdict for v in play(drive, one_trial_machine_fails, 15.0)}
 
 
@@ -141,10 +140,7 @@
 
 def test_a_quiet_agent_votes_on_what_peers_have_seen() -> None:
     def notes(config: it.Settings) -> list[bytes]:
-        loud = Drive(config, servers=8)
-        play(loud, good, 8.0)
-        loud.news(2, 0, it.Phase.TRIAL, 0.14)
-        loud.list(entry(20, build=2, started=loud.now))
+        loud = offered(config=config)
         play(loud, good, 15.0)
         return [a.data for a in loud.all if isinstance(a, it.TellPeers)]
 
@@ -199,10 +195,7 @@
 
 
 def test_complaints_count_as_errors_of_the_build() -> None:
-    drive = Drive(settings(rollout={"flag_share": 0.15}), servers=8)
-    play(drive, good, 8.0)
-    drive.news(2, 0, it.Phase.TRIAL, 0.14)
-    drive.list(entry(20, build=2, started=drive.now))
+    drive = offered(config=settings(rollout={"flag_share": 0.15}))
     play(drive, good, 6.0)
     for _ in range(8):
         drive.give(it.Complaint(0, 20, 1500.0))
@@ -215,10 +208,7 @@
 
 
 def test_a_build_that_slows_all_servers_for_long_goes_back() -> None:
-    drive = Drive(servers=8)
-    play(drive, good, 8.0)
-    drive.news(2, 1, it.Phase.TRIAL, 0.5)
-    drive.list(*[entry(20 + i, build=2, started=drive.now) for i in range(4)])
+    drive = offered(stage=1, cap=0.5, trials=4)
     votes = play(drive, everything_slow, 20.0)
     assert votes and {v.verdict for v in votes} == {it.Verdict.BACK}
 
@@ -229,17 +219,11 @@
     def idle(server: int, cls: int, rng: random.Random) -> tuple[it.Status, float]:
         return it.Status.OK, rng.lognormvariate(4.6, 0.5) * (1.0 if server >= 20 else 0.35)
 
-    drive = Drive(servers=8)
-    play(drive, good, 8.0)
-    drive.news(2, 1, it.Phase.TRIAL, 0.6)
-    drive.list(*[entry(20 + i, build=2, started=drive.now) for i in range(6)])
+    drive = offered(stage=1, cap=0.6, trials=6)
     assert it.Verdict.BACK not in {v.verdict for v in play(drive, idle, 20.0)}
 
 
 def test_an_on_vote_is_taken_back_when_its_grounds_fall_away() -> None:
-    drive = Drive(servers=8)
-    play(drive, good, 8.0)
-    drive.news(2, 0, it.Phase.TRIAL, 0.14)
-    drive.list(entry(20, build=2, started=drive.now))
+    drive = offered()
     assert {v.verdict for v in play(drive, good, 15.0)} == {it.Verdict.ON}
     assert play(drive, everything_slow, 6.0)[-1].verdict is it.Verdict.NONE
