Work and messages follow traffic; a throttle against jams; errors must show on most machines

Change: all agents tell five judges (spread over the numbers) and only what speaks of the build judged; servers are drawn before they are checked; evidence fades as running sums; nothing is held any more, what no server may take is answered at once; little more is tried of a class or tenant than lately brought worth; errors count as a build's only if they show on most of its machines, on one class out of all, or while the earlier build's machines do not fail. Guards also against retry storms and stalls of a whole tenant; harmful where a class is served well only now and then.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -1,10 +1,8 @@
-"""All decisions of otterquay; its types, events and actions are in otterquay/interface.py.
-
-One Agent is one instance: it knows its settings and events, does no I/O, takes all chance from its seed.
-"""
+"""All decisions of otterquay; its types, events and actions are in otterquay/interface.py."""
 import math
 import random
 import struct
+from bisect import bisect_right
 from collections import deque
 from collections.abc import Sequence
 from statistics import fmean, median, pvariance, variance
@@ -15,75 +13,72 @@
 BIN_MS, DEEP, LATE_BINS = 500.0, 8, 3  # DESIGN: half-second bins, eight deep; late ones running that break
 PAIRS_LEAST, PAIRS_A_BIN, BASELINE_BINS = 20, 4, 60  # DESIGN: 20 pairs over 30 s; ours: pairs a bin
 OUTCOMES_LEAST, FRESH_MS = 20, 2000.0  # DESIGN: trial outcomes for a vote; servers listed later are left out
-CLASS_LEAST, LEARN, SIGMAS = 3, 0.03, 2.3  # outcomes a class, times the stage; learning rate; sure of a level
-PASS_MEAN, SETTLED_P = 0.9, 0.05  # DESIGN: mean to go on, t-test level; ours: least and most points tested,
-POINTS_LEAST, POINTS_MOST, POOL_BINS, TICK_MS = 4, 12, 40, 50.0  # bins of evidence, looks at held requests
+T_LIMIT = (12.71, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228)  # DESIGN: 0.05, by freedom
+PASS_MEAN, POINTS_LEAST, POINTS_MOST, POOL_BINS = 0.9, 4, 12, 40  # DESIGN: mean to go on; ours: points, bins
 ERROR_MARGIN = 0.025  # DESIGN: five points over the earlier build; half, as late failures start small
-CHANCE, SURE = 0.01, 0.001  # extra error share laid to chance; a breaker is sure when that is rarer
-LEVEL_LEAST, SERVER_NOISE = 20, 0.08  # latencies behind a level; variance of log latency among alike servers
-LEVEL_BACK, LEVEL_ALL = math.log(1.8), 1.4  # back when surely slower, and the middle trial server slower too
+CLASS_LEAST, LEARN, SIGMAS = 3, 0.03, 2.3  # outcomes a class, times the stage; learning rate; sure of a level
+CHANCE, SURE, SPREAD, MACHINES = 0.01, 0.001, 0.6, 3  # share laid to chance; sure if rarer; machines hit
+LEVEL_LEAST, SERVER_NOISE, LEVEL_BACK = 20, 0.08, math.log(1.8)  # latencies; variance among servers; slower
 WORSE, WORSE_BINS = math.log(1.4), 14  # all servers slower by this: no step on; for so many bins: back
 SEEN_PART, SETTLE_MS = 0.7, 20000.0  # a stage's servers seen before a step; restarted agents wait
+JUDGES, NOTE_WORTH, TELL_MS = 5, 8.0, 2000.0  # agents that the others tell; outcomes, time that a note waits
 FILL, FAIR, COLD_PART = 0.95, 1.3, 0.85  # most used of the cap, of an even trial share, of a cold budget
-HOLD_PART, CROSS, REFUSED_MS = 0.25, 1.3, 400.0  # held for this part of the aim; crossing cost; come-back
+DRAWN, CROSS, REFUSED_MS = 3, 1.3, 400.0  # servers drawn to choose from; crossing cost; come-back
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.35, 0.6  # own open work a server may hold at first; parts of the aim:
 SHRINK, SHRINK_MS = 0.75, 100.0  # quicker answers add to it, tardier ones take away, so often at most
-RETRY_PART, RETRY_MOST = 0.2, 10.0  # retries earned a first send, and how many are saved: no retry storms
 OVER_SHARE, LEAST_PART = 1.25, 0.5  # times its share a tenant is over it; part of a bound open to least worth
+TRY_LEAST, TRY_MOST, FADE = 1.1, 1.6, 0.9  # tried over what brought worth, least to most; kept of it a bin
 DEAD_OK, HEAL = 0.4, 0.04  # health below which a server is avoided; health regained a bin, to try it again
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
 
 
 # --- state ---
-class Window:
-    """How many things happened within the last `span` ms."""
-
+class Window:  # how many things happened within the last `span` ms
     def __init__(self, span: float) -> None:
-        self.span, self.times = span, deque[float]()
+        self.span, self.times = span, list[float]()
 
     def count(self, now: float) -> int:
-        while self.times and self.times[0] <= now - self.span:
-            self.times.popleft()
+        del self.times[:bisect_right(self.times, now - self.span)]
         return len(self.times)
 
 
-class Server:
-    """What the list says of a server and what we have seen of it since it started."""
+class Server:  # what the list says of a server and what we have seen of it since it started
+    def __init__(self, entry: it.ServerEntry, now: float, fall_ms: float) -> None:
+        self.id, self.entry, self.listed, self.sent = entry.server, entry, now, Window(fall_ms)
+        self.open, self.ready = dict[tuple[int, int], float](), True  # own attempts out there: when sent
+        self.ok, self.slow, self.limit, self.shrunk, self.seen, self.errors = 1.0, 1.0, OPEN_FIRST, 0.0, 0, 0
+        self.bin: dict[int, list[float]] = {}  # by class this bin's latencies, nan for an error
+        self.series: dict[int, deque[float]] = {}  # by metric, two a class: errors, latency
 
-    def __init__(self, entry: it.ServerEntry, now: float, classes: int, fall_ms: float) -> None:
-        self.id, self.entry, self.listed, self.ready = entry.server, entry, now, True
-        self.open: dict[tuple[int, int], float] = {}  # own attempts out there: when sent
-        self.ok, self.slow, self.limit, self.shrunk, self.sent = 1.0, 1.0, OPEN_FIRST, 0.0, Window(fall_ms)
-        self.bin: list[list[float]] = [[] for _ in range(classes)]  # this bin's latencies, nan for an error
-        self.series = [deque[float](maxlen=DEEP) for _ in range(2 * classes)]  # by class: errors, latency
-        self.hits = deque([(0, 0)], maxlen=POOL_BINS)  # outcomes and errors of each bin
+    def close(self) -> None:  # DESIGN: an empty bin repeats the last value
+        for series in self.series.values():
+            series.append(series[-1])
+        for cls, got in self.bin.items():
+            good = [x for x in got if x == x]
+            self.seen, self.errors = self.seen + len(got), self.errors + len(got) - len(good)
+            values = [1 - len(good) / len(got)] + ([median(good)] if good else [])
+            for metric, value in enumerate(values, 2 * cls):
+                self.series.setdefault(metric, deque([value], maxlen=DEEP))[-1] = value
+        self.bin = {}
 
 
-class Attempt:
-    """One attempt: where it went, when, and whether it may have run."""
+class Attempt:  # one attempt: where it went, when, and whether it may have run
+    def __init__(self, server: Server, cls: int, now: float) -> None:
+        self.server, self.cls, self.sent, self.live, self.unrun = server, cls, now, True, False
 
-    def __init__(self, server: Server, cls: int, now: float, cold: bool) -> None:
-        self.server, self.cls, self.sent, self.cold = server, cls, now, cold
-        self.live, self.unrun = True, False
-        self.zone, self.cell, self.build = server.entry.zone, server.entry.cell, server.entry.build
-
-
-class Job:
-    """A request we owe an answer."""
 
+class Job:  # a request we owe an answer
     def __init__(self, request: it.Request, now: float, cls: it.RequestClass) -> None:
         self.request, self.id, self.cls = request, request.request, request.cls
         aim = cls.aim_ms + cls.aim_stretch * (request.work_hint_ms if request.hinted else 0.0)
-        # past its aim an answer may be worth nothing: the time-out there frees the server for others
-        useful = cls.deadline_ms if cls.late_worth > 0 else min(aim, cls.deadline_ms)
-        self.until, self.useful = now + request.budget_ms, now + min(request.budget_ms, useful)
-        self.attempts: list[Attempt] = []
+        useful = min(request.budget_ms, cls.deadline_ms if cls.late_worth > 0 else aim)  # then free it
+        self.until, self.useful = now + request.budget_ms, now + useful
+        self.aim, self.attempts, self.cells = now + aim, list[Attempt](), [request.cls]
 
 
 # --- evidence and scoring: small pure functions ---
-def scaled(series: Sequence[float]) -> list[float]:
-    """Bring a series to 0..1; a flat one becomes zeros."""
+def scaled(series: Sequence[float]) -> list[float]:  # Bring a series to 0..1; a flat one becomes zeros
     low, high = min(series), max(series)
     return [(x - low) / (high - low) if high > low else 0.0 for x in series]
 
@@ -101,7 +96,8 @@
 def distance(a: Sequence[float], b: Sequence[float]) -> float:
     """Distance a bin, over the bins both series have."""
     depth = min(len(a), len(b))
-    return dtw(scaled(list(a)[-depth:]), scaled(list(b)[-depth:])) / depth
+    one, other = scaled(list(a)[-depth:]), scaled(list(b)[-depth:])
+    return dtw(one, other) / depth if any(one) or any(other) else 0.0
 
 
 def metric_score(found: float, baseline: Sequence[float]) -> float:
@@ -110,33 +106,21 @@
     return 1.0 if found <= edge else 0.0 if found > most else 1.0 - 0.1 * (found - edge) / (most - edge)
 
 
-def t_test(a: Sequence[float], b: Sequence[float]) -> float:
-    """Two-sided p of Student's t-test; whole degrees of freedom have a finite closed form."""
-    df = len(a) + len(b) - 2
-    spread = ((len(a) - 1) * variance(a) + (len(b) - 1) * variance(b)) / df
-    if spread <= 0:
-        return float(fmean(a) == fmean(b))
-    angle = math.atan(abs(fmean(a) - fmean(b)) / math.sqrt(spread * (1 / len(a) + 1 / len(b)) * df))
-    cos2, term, total = math.cos(angle) ** 2, 1.0, 0.0
-    for k in range(df % 2, df - 1, 2):
-        total, term = total + term, term * cos2 * (k + 1) / (k + 2)
-    inside = math.sin(angle) * total * (math.cos(angle) if df % 2 else 1.0)
-    return 1.0 - (2 / math.pi * (angle + inside) if df % 2 else inside)
-
-
 def settled(points: Sequence[float]) -> bool:
-    """DESIGN: the halves of the score series are alike; flat halves count as settled."""
-    half = len(points) // 2
-    return len(points) >= POINTS_LEAST and t_test(points[:half], points[half:]) >= SETTLED_P
+    """DESIGN: a t-test finds the halves of the score series alike; flat halves count as settled."""
+    if len(points) < POINTS_LEAST:
+        return False
+    a, b, df = points[:len(points) // 2], points[len(points) // 2:], len(points) - 2
+    spread = ((len(a) - 1) * variance(a) + (len(b) - 1) * variance(b)) / df * (1 / len(a) + 1 / len(b))
+    return abs(fmean(a) - fmean(b)) <= T_LIMIT[min(df, len(T_LIMIT)) - 1] * math.sqrt(spread)
 
 
-def tail(n: int, x: int, p: float) -> float:
-    """Chance of x or more errors in n outcomes at error share p."""
-    if p >= 1 or x <= 0:
-        return 1.0
-    logs = (math.lgamma(n + 1) - math.lgamma(k + 1) - math.lgamma(n - k + 1) + k * math.log(p)
-            + (n - k) * math.log1p(-p) for k in range(min(x, n + 1)))
-    return max(0.0, 1.0 - math.fsum(map(math.exp, logs)))
+def tail(n: float, x: float, p: float) -> float:
+    """Chance of x or more errors in n outcomes at error share p, by Poisson's law: a little too high."""
+    term = total = math.exp(-min(n * p, 700.0))
+    for k in range(1, round(x)):
+        term, total = term * n * p / k, total + term * n * p / k
+    return max(0.0, 1.0 - total) if x >= 1 and n * p < 700 else 1.0
 
 
 class Agent:
@@ -145,24 +129,32 @@
     def __init__(self, settings: it.Settings, seed: int) -> None:
         self.s, self.roll, self.n = settings, settings.rollout, len(settings.classes)
         self.rng, self.now, self.out = random.Random(seed), 0.0, list[it.Action]()
-        self.servers, self.jobs, self.held = dict[int, Server](), dict[int, Job](), dict[int, float]()
+        self.servers, self.jobs = dict[int, Server](), dict[int, Job]()
         self.away: dict[tuple[int, int], Attempt] = {}  # attempts without an outcome
         # a window of requests a little short and of attempts a little long: edges fall between two ticks
         self.asked = [Window(self.roll.window_ms - 4 * settings.tick_ms) for _ in settings.classes]
-        self.tries: dict[tuple[int, int], Window] = {}  # (build, class): attempts in the exposure window
+        self.tries = dict[tuple[int, int], Window]()  # (build, class): attempts in the exposure window
         self.sent, self.by_tenant = Window(settings.rules.fall_ms), [Window(1e3) for _ in settings.tenants]
+        self.tried = [(0.0, 0.0)] * (self.n + len(settings.tenants))  # by class, tenant: sent, brought worth
         self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
         self.usual, self.speed = [c.aim_ms / 4 for c in settings.classes], dict[int, float]()  # log, by kind
-        self.retries, self.next_bin, self.next_watch = RETRY_MOST, 0.0, math.inf
+        self.next_watch = 0.0 if settings.discovery is it.Discovery.ASK else math.inf
+        self.next_bin, self.tell_at, self.settle, self.vote_at = 0.0, 0.0, 0.0, -math.inf
         self.news = it.StageNews(0, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, 0.0)
         self.baseline = [deque[float](maxlen=BASELINE_BINS * PAIRS_A_BIN) for _ in range(2 * self.n)]
+        self.groups: list[list[list[Server]]] = []  # servers not on trial and on trial: near ones, all
+        self.even, self.fleet, self.new = 0.0, 1, 0  # trial's even share, servers ready, build on trial
+        self.bins, self.ranked, self.healed, self.points = 0, -1, 0, deque[float](maxlen=POINTS_MOST)
+        # evidence must be whole somewhere: where agents may talk, all tell a few, spread over their numbers
+        self.judges = sorted({i * settings.agents // JUDGES for i in range(JUDGES * settings.limits.peers)})
         # an evidence row: by class trial outcomes, errors, earlier ones; log-latency n, sum, squares of both
-        self.fresh, self.heard = [0.0] * (4 * self.n + 6), [0.0] * (4 * self.n + 6)
-        self.pools = {name: deque[list[float]](maxlen=POOL_BINS) for name in ("own", "tally")}
-        self.points, self.before = deque[float](maxlen=POINTS_MOST), dict[int, float]()  # before: last errors
-        self.late_bins, self.worse_bins, self.tripped, self.vote_at = 0, 0, "", -math.inf
-        self.last_vote, self.shared = (0, 0, it.Verdict.NONE), False
-        self.began, self.midway = math.inf, False  # midway: started while a build was on trial
+        self.none, self.late_bins, self.worse_bins, self.shared = [0.0] * (4 * self.n + 6), 0, 0, False
+        self.before, self.last_vote = dict[tuple[str, int], float](), (0, 0, it.Verdict.NONE)  # error shares
+        self._forget()
+
+    def _forget(self) -> None:  # a new build: nothing seen of the last one speaks of it
+        self.tripped, (self.fresh, self.heard, self.untold, self.tallied) = "", [self.none[:] for _ in range(4)]
+        self.pools = {(name, span): self.none for name in ("own", "tally") for span in (POOL_BINS, DEEP)}
 
     def handle(self, now: float, event: it.Event) -> list[it.Action]:
         """What to do about one event; one that we have no use for is passed over."""
@@ -170,23 +162,16 @@
         getattr(self, f"_{type(event).__name__.lower()}", lambda _: None)(event)
         return self.out
 
-    def _started(self, _: it.Started) -> None:
-        self.next_bin, asks = self.now + BIN_MS, self.s.discovery is it.Discovery.ASK
-        self.next_watch = self.now if asks else math.inf
-        self._timerfired(it.TimerFired(0))
-
-    def _timerfired(self, _: it.TimerFired) -> None:
-        self.out.append(it.SetTimer(TICK_MS, 0))
+    def _timerfired(self, _: it.Started | it.TimerFired) -> None:
         if self.now >= self.next_watch:
             self.next_watch = math.inf  # until we hear that it failed or was dropped
             self.out.append(it.Watch(True))
-        for request, give_up in list(self.held.items()):
-            self._send(self.jobs[request])
-            if request in self.held and self.now >= give_up:
-                self._give_up(self.jobs[request])
         if self.now >= self.next_bin:
-            self.next_bin += BIN_MS
             self._close_bin()
+            self.next_bin = max(self.next_bin, self.now - BIN_MS / 2) + BIN_MS  # none for time we stood still
+            self.out.append(it.SetTimer(self.next_bin - self.now, 0))
+
+    _started = _timerfired
 
     def _serverlist(self, news: it.ServerList) -> None:
         if news.kind is it.ListKind.FAILED:
@@ -199,20 +184,20 @@
             known = self.servers.get(entry.server)
             # a restart, or another build under a known id: what we knew of it is void and it is cold
             if not known or (known.entry.build, known.entry.started_ms) != (entry.build, entry.started_ms):
-                known = self.servers[entry.server] = Server(entry, self.now, self.n, self.s.rules.fall_ms)
+                known = self.servers[entry.server] = Server(entry, self.now, self.s.rules.fall_ms)
             known.entry, known.ready = entry, entry.state is it.ServerState.READY
+        self.ranked = -1
 
     def _stagenews(self, news: it.StageNews) -> None:
-        if news.status is not it.Status.OK:  # our vote may not count: vote again soon
-            self.vote_at = min(self.vote_at, self.now - self.roll.vote_life_ms + BIN_MS)
         if news.status is not it.Status.OK or news.build < self.news.build:
+            if news.status is not it.Status.OK:  # our vote may not count: vote again soon
+                self.vote_at = min(self.vote_at, self.now - self.roll.vote_life_ms + BIN_MS)
             return
-        if self.news.build == 0:
-            self.began, self.midway = self.now, news.phase is it.Phase.TRIAL
-        old, self.news = self.news, news
-        if news.build != old.build:  # nothing seen of the last build speaks of this one
-            self.fresh, self.heard, self.tripped = [0.0] * len(self.fresh), [0.0] * len(self.fresh), ""
-            self.pools = {name: deque(maxlen=POOL_BINS) for name in self.pools}
+        if self.news.build == 0 and news.phase is it.Phase.TRIAL:  # started midway, with no usual of before
+            self.settle = self.now + SETTLE_MS
+        old, self.news, self.ranked = self.news, news, -1
+        if news.build != old.build:
+            self._forget()
         if (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.points.clear()
             self.late_bins, self.worse_bins, self.last_vote = 0, 0, (0, 0, it.Verdict.NONE)
@@ -221,15 +206,17 @@
 
     # --- evidence ---
     def _book(self, row: list[float], build: int, cls: int, outcomes: int, errors: int) -> None:
-        """Add outcomes of the build judged, or of an earlier one, to an evidence row."""
         if build <= self.news.build:
-            for i, count in enumerate((outcomes, errors), 4 * cls + 2 * (build < self.news.build)):
-                row[i] += count
+            at = 4 * cls + 2 * (build < self.news.build)
+            row[at], row[at + 1] = row[at] + outcomes, row[at + 1] + errors
+
+    def _see(self, server: Server, cls: int, value: float, outcomes: int) -> None:
+        server.bin.setdefault(cls, []).append(value)
+        self._book(self.fresh, server.entry.build, cls, outcomes, value != value)
 
     def _learn(self, attempt: Attempt, status: it.Status, latency: float) -> None:
-        """Book one outcome to its server, its class and its build."""
-        server, cls, aim = attempt.server, attempt.cls, self.s.classes[attempt.cls].aim_ms
-        good = status is it.Status.OK
+        server, cls, good = attempt.server, attempt.cls, status is it.Status.OK
+        aim, build = self.s.classes[cls].aim_ms, server.entry.build
         if status in (it.Status.CANCELLED, it.Status.MOOT):
             return
         server.ok += (good - server.ok) * (0.5 if status in UNRUN else 0.2)
@@ -243,73 +230,83 @@
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
             calm = self.news.phase is not it.Phase.TRIAL  # on trial, the usual stays what it was before
             self.usual[cls] += (latency - self.usual[cls]) * LEARN if good and calm else 0.0
-            if attempt.build <= self.news.build and not attempt.cold:  # any build is slow on a cold server
-                earlier = attempt.build < self.news.build
+            warm = attempt.sent - server.entry.started_ms > self.s.rules.cold_ms + 2 * BIN_MS
+            if build <= self.news.build and warm:  # any build is slow on a cold server
+                earlier = build < self.news.build
                 log -= self.speed.setdefault(kind, 0.0)  # and a slow kind of machine is no slow build
                 self.speed[kind] += LEARN * log * earlier * calm
                 for i in range(3):
                     self.fresh[4 * self.n + 3 * earlier + i] += log ** i
         if good or status is it.Status.ERROR:  # lost connections and full queues tell of machines, not builds
-            server.bin[cls].append(latency if good else math.nan)
-            self._book(self.fresh, attempt.build, cls, 1, not good)
+            self._see(server, cls, latency if good else math.nan, 1)
 
     def _complaint(self, event: it.Complaint) -> None:
         if server := self.servers.get(event.server):  # a wrong answer was counted as good when it passed
-            self._book(self.fresh, server.entry.build, event.cls, 0, 1)
-            server.bin[event.cls].append(math.nan)
+            self._see(server, event.cls, math.nan, 0)
 
     def _tally(self, event: it.Tally) -> None:
-        row = [0.0] * len(self.fresh)
-        self._book(row, event.build, event.cls, event.attempts, event.failures)
-        self.pools["tally"].append(row)
+        self._book(self.tallied, event.build, event.cls, event.attempts, event.failures)
+
+    def _totals(self, name: str, span: int) -> tuple[list[list[float]], list[float]]:  # classes, all; levels
+        sums = self.pools[name, span]
+        rows = [sums[4 * c:4 * c + 4] for c in range(self.n)]
+        return [*rows, [sum(sums[i:4 * self.n:4]) for i in range(4)]], sums[4 * self.n:]
 
-    def _peermessage(self, event: it.PeerMessage) -> None:
-        """Another agent's evidence counts like our own, however late: it is one row of counts."""
+    def _peermessage(self, event: it.PeerMessage) -> None:  # counts like our own, however late
         fits = len(event.data) == NOTE.size + 4 * len(self.fresh)
         if fits and NOTE.unpack_from(event.data) == (1, self.news.build, self.n):
             row = struct.unpack_from(f"<{len(self.fresh)}f", event.data, NOTE.size)
-            self.heard = [x + (y if math.isfinite(y) else 0.0) for x, y in zip(self.heard, row, strict=True)]
+            if all(map(math.isfinite, row)) and min(row[:4 * self.n]) >= 0:
+                self.heard = [x + y for x, y in zip(self.heard, row, strict=True)]
 
-    def _close_bin(self) -> None:
-        """Twice a second: roll the series, extend the baseline, share evidence, score and vote."""
-        for server in self.servers.values():
-            server.ok += HEAL * (1.0 - server.ok)
-            good = [[x for x in got if x == x] for got in server.bin]
-            server.hits.append((sum(map(len, server.bin)), sum(map(len, server.bin)) - sum(map(len, good))))
-            for cls, got in enumerate(server.bin):
-                share = 1 - len(good[cls]) / len(got) if got else None
-                for at, value in ((2 * cls, share), (2 * cls + 1, median(good[cls]) if good[cls] else None)):
-                    if value is not None or server.series[at]:  # DESIGN: an empty bin repeats the last value
-                        server.series[at].append(server.series[at][-1] if value is None else value)
-                got.clear()
+    def _tell(self) -> None:  # evidence on the build judged goes to the judges, each piece once
+        self.untold = [x + y for x, y in zip(self.untold, self.fresh, strict=True)]
+        if sum(self.untold[:4 * self.n:2]) < NOTE_WORTH and self.now < self.tell_at:
+            return
+        note = NOTE.pack(1, self.news.build, self.n) + struct.pack(f"<{len(self.untold)}f", *self.untold)
+        if any(any(self.untold[4 * c:4 * c + 2]) for c in range(self.n)) and len(note) <= 256:
+            self.out.extend(it.TellPeers(peer, note) for peer in self.judges if peer != self.s.me)
+        self.untold, self.tell_at = self.none[:], self.now + TELL_MS
+
+    def _close_bin(self) -> None:  # roll the series, extend the baseline, share evidence, score and vote
+        self.bins += 1
+        self.tried = [(tried * FADE, gain * FADE) for tried, gain in self.tried]
+        for server in filter(lambda s: s.series or s.bin, self.servers.values()):
+            server.close()
         judged = self.news.build > 0 and self.news.phase in (it.Phase.TRIAL, it.Phase.RELEASED)
-        note = NOTE.pack(1, self.news.build, self.n) + struct.pack(f"<{len(self.fresh)}f", *self.fresh)
-        if judged and self.s.limits.peers and self.s.agents > 1 and any(self.fresh) and len(note) <= 256:
-            self.out.append(it.TellPeers(None, note))
-        self.pools["own"].append([x + y for x, y in zip(self.fresh, self.heard, strict=True)])
-        self.fresh, self.heard = [0.0] * len(self.fresh), [0.0] * len(self.fresh)
+        if judged:
+            self._tell()
+        judge, own = not self.judges or self.s.me in self.judges, sum(self.fresh[:4 * self.n:4])
+        row = [x + y for x, y in zip(self.fresh, self.heard, strict=True)]
+        # a bin in which nothing came changes no mind; who tells its evidence votes back on it, never on
+        came = any(row[1:4 * self.n:4]) or (judge and (any(row) or any(self.tallied)))
+        for (name, span), sums in self.pools.items():  # evidence fades
+            add = row if name == "own" else self.tallied
+            self.pools[name, span] = [x * (1 - 1 / span) + y for x, y in zip(sums, add, strict=True)]
+        self.fresh, self.heard, self.tallied = self.none[:], self.none[:], self.none[:]
+        if not came and not self.tripped and self.last_vote[2] is it.Verdict.NONE:
+            return
         seen = [s for s in self.servers.values() if s.ready and self.now - s.listed >= FRESH_MS]
         trial = [s for s in seen if s.entry.build == self.news.build]
         earlier = [s for s in seen if s.entry.build < self.news.build]
         scores = list[float]()
-        for metric, past in enumerate(self.baseline):
-            old, new = ([s.series[metric] for s in group] for group in (earlier or trial, trial))
-            past.extend(self._distances(old, old))
-            found = self._distances(new, old)
+        for metric, past in enumerate(self.baseline if judge else ()):
+            old, new = ([s for s in group if metric in s.series] for group in (earlier or trial, trial))
+            past.extend(self._distances(old, old, metric))
+            found = self._distances(new, old, metric)
             if found and earlier and len(past) >= PAIRS_LEAST:
                 scores.append(metric_score(fmean(found), past))
         if judged:
-            self._judge(scores, trial, earlier)
+            self._judge(scores, trial, earlier, own)
 
-    def _distances(self, ones: list[deque[float]], others: list[deque[float]]) -> list[float]:
-        """Distances of a few random pairs of series."""
+    def _distances(self, ones: list[Server], others: list[Server], metric: int) -> list[float]:  # of pairs
         draw, times = self.rng.choice, PAIRS_A_BIN if ones and others else 0
-        pairs = [(draw(ones), draw(others)) for _ in range(times)]
+        pairs = [(draw(ones).series[metric], draw(others).series[metric]) for _ in range(times)]
         return [distance(a, b) for a, b in pairs if a is not b and min(len(a), len(b)) >= 2]
 
     # --- voting ---
-    def _judge(self, scores: list[float], trial: list[Server], earlier: list[Server]) -> None:
-        trip = self._breaker(trial, earlier)
+    def _judge(self, scores: list[float], trial: list[Server], earlier: list[Server], own: float) -> None:
+        trip = self._breaker(trial, earlier, own)
         self.tripped = self.tripped or trip
         if scores or trip:  # DESIGN: a breaker zeroes the average
             self.points.append(0.0 if trip else fmean(scores))
@@ -317,123 +314,134 @@
             self._vote(it.Verdict.BACK, self.tripped)
         elif self.news.phase is it.Phase.TRIAL:
             mean, enough = fmean(self.points or [0.0]), self._enough(trial, earlier)
-            verdict = it.Verdict.ON if mean >= PASS_MEAN else it.Verdict.BACK
-            if enough and settled(list(self.points)) and (
-                    verdict is it.Verdict.ON or self.roll.control is not it.Control.ANY):  # DESIGN
-                self._vote(verdict, f"mean {mean:.2f}")
+            sure = enough and settled(list(self.points))
+            if sure and (mean >= PASS_MEAN or self.roll.control is not it.Control.ANY):  # DESIGN
+                self._vote(it.Verdict.ON if mean >= PASS_MEAN else it.Verdict.BACK, f"mean {mean:.2f}")
             elif not enough and self.last_vote == (self.news.build, self.news.stage, it.Verdict.ON):
                 self._vote(it.Verdict.NONE, "a change of mind")
 
-    def _totals(self, name: str, bins: int = POOL_BINS) -> tuple[list[tuple[float, ...]], tuple[float, ...]]:
-        """A pool's sums over its newest rows: by class, with all classes last, and the levels."""
-        rows = list(self.pools[name])[-bins:] or [[0.0] * len(self.fresh)]
-        sums = [math.fsum(column) for column in zip(*rows, strict=True)]
-        classes = [tuple(sums[4 * c:4 * c + 4]) for c in range(self.n)]
-        return [*classes, tuple(map(math.fsum, zip(*classes, strict=True)))], tuple(sums[4 * self.n:])
-
-    def _enough(self, trial: list[Server], earlier: list[Server]) -> bool:
-        """Could the evidence have shown a failing class? A quiet agent leaves the vote to others."""
-        pools = [self._totals(name) for name in self.pools]
-        n1, s1, _, n0, s0, _ = pools[0][1]
-        level = s1 / n1 - max(s0 / n0, 0.0) if min(n1, n0) >= LEVEL_LEAST else math.inf
-        if self.news.stage and n0 >= LEVEL_LEAST and level > LEVEL_BACK:
-            return False  # by now servers of the first stage are warm, so a slow build can be told
+    def _enough(self, trial: list[Server], earlier: list[Server]) -> bool:  # would failure have shown?
+        pools = [self._totals(name, POOL_BINS) for name in ("own", "tally")]
+        n1, s1, _, n0, s0, _ = pools[0][1]  # after the first stage, its servers are warm: a slow build shows
+        if self.news.stage and n0 >= LEVEL_LEAST and (n1 < LEVEL_LEAST or s1 / n1 - s0 / n0 > LEVEL_BACK):
+            return False
         places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
         unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
-        if self._worse() > WORSE or unseen or (self.midway and self.now < self.began + SETTLE_MS):
+        if self._worse() > WORSE or unseen or self.now < self.settle:
             return False  # all slower, by a burst or by the build; its servers not seen; too new here to tell
-        failing = any(x >= 2 and x > 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
+        failing = any(x > 1.5 and x > 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
         least = CLASS_LEAST * (1 + self.news.stage)
         seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(rows)[0] >= least for rows, _ in pools)
         return seen and not (failing and self.shared)
 
-    def _breaker(self, trial: list[Server], earlier: list[Server]) -> str:
-        """DESIGN's breakers, asked to be sure, and the level that scaling erases (docs/design.md)."""
-        hits = [(sum(n for n, _ in s.hits), sum(x for _, x in s.hits)) for s in trial]
-        known = [x > ERROR_MARGIN * n for n, x in hits if n >= 4]
-        self.shared = not known or 2 * sum(known) > len(known)  # one failing machine is no failing build
-        for name, bins in (("own", POOL_BINS), ("own", DEEP), ("tally", POOL_BINS), ("tally", DEEP)):
-            rows, (n1, s1, q1, n0, s0, q0) = self._totals(name, bins)
+    def _breaker(self, trial: list[Server], earlier: list[Server], own: float) -> str:  # DESIGN, but surer
+        mates = [s for s in self.servers.values() if s.entry.build == self.news.build]
+        known, total = [s.errors for s in mates if s.seen] or [0], self._totals("own", POOL_BINS)[0][-1][1]
+        hit = sum(x > 0 for x in known)  # failing machines are no failing build, which would hit most alike
+        alike = hit >= max(2, SPREAD * len(known) * (1 - (1 - 1 / len(known)) ** sum(known)))
+        self.shared = len(mates) == 1 or 2 * sum(known) < total or alike  # what peers saw, was elsewhere
+        for name, span in self.pools:
+            rows, (n1, s1, q1, n0, s0, q0) = self._totals(name, span)
+            # of many that judge on evidence of their own, one errs by chance
+            many = max(self.s.agents, 1) if name == "own" and self.s.me not in self.judges else 1
             for cls, (n, x, old_n, old_x) in enumerate(rows):
                 if old_n >= LEVEL_LEAST:  # DESIGN: lacking earlier servers, the last baseline stays
-                    self.before[cls] = (old_x + 0.5) / (old_n + 1)
-                usual = self.before.get(cls, CHANCE)
-                if self.shared and x >= 2 and x > (usual + ERROR_MARGIN) * n and tail(
-                        int(max(n, x)), int(x), usual + CHANCE) < SURE:
+                    self.before[name, cls] = (old_x + 0.5) / (old_n + 1)
+                usual, part = self.before.get((name, cls), CHANCE), n / max(rows[-1][0], n, 1)
+                odd = tail(rows[-1][1], x, part)  # chance that errors of all classes alike fall on this one
+                # while machines of the earlier build fail too, errors of all classes alike may be machines'
+                surely = odd < CHANCE or (alike and hit >= min(MACHINES, len(mates)))
+                if (surely or (self.shared and usual <= CHANCE)) and x > max(
+                        1.5, (usual + ERROR_MARGIN) * n) and tail(max(n, x), x, usual + CHANCE) < SURE / many:
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
             if self.news.phase is it.Phase.TRIAL and trial and earlier and min(n1, n0) >= LEVEL_LEAST:
                 m1, m0 = s1 / n1, max(s0 / n0, 0.0)  # idle earlier servers are quicker than usual
                 noise = math.sqrt(max(q1 / n1 - m1 * m1, 0.1) / n1 + max(q0 / n0 - (s0 / n0) ** 2, 0.1) / n0
                                   + SERVER_NOISE / len(trial))
-                most = median(s.slow for s in trial) / max(1.0, median(s.slow for s in earlier)) > LEVEL_ALL
-                if most and m1 - m0 - SIGMAS * noise > LEVEL_BACK:
+                if m1 - m0 - math.sqrt(SIGMAS ** 2 + 2 * math.log(many)) * noise > LEVEL_BACK:
                     return f"level {name}: {math.exp(m1 - m0):.2f} times the earlier, {n1:.0f} to {n0:.0f}"
-        mid = [[median([s.series[2 * c + 1][-1] for s in group if s.series[2 * c + 1]] or [0.0])
-                for c in range(self.n)] for group in (trial, earlier)]
-        late = [c for c, cls in enumerate(self.s.classes) if mid[0][c] > cls.aim_ms >= mid[1][c] > 0]
         # ours: not while the earlier build is late too or leaves, nor on an old value that empty bins repeat
-        told = late and self.news.phase is it.Phase.TRIAL and sum(s.hits[-1][0] for s in trial) >= 2 * self.n
-        self.late_bins = self.late_bins + 1 if told else 0
+        late = [c for c, cls in enumerate(self.s.classes if own >= 2 * self.n else ())
+                if self._middle(trial, c) > cls.aim_ms >= self._middle(earlier, c) > 0]
+        self.late_bins = self.late_bins + 1 if late and self.news.phase is it.Phase.TRIAL else 0
         self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE else 0
-        slow = "all slower since it came" if self.worse_bins >= WORSE_BINS else ""
-        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else slow
+        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else (
+            "all slower since it came" if self.worse_bins >= WORSE_BINS else "")
 
-    def _worse(self) -> float:
-        """Log latency of the earlier build's servers over their usual before the build judged was offered."""
-        _, (_, _, _, n0, s0, _) = self._totals("own", DEEP)
+    def _middle(self, group: list[Server], cls: int) -> float:
+        return median([s.series[2 * cls + 1][-1] for s in group if 2 * cls + 1 in s.series] or [0.0])
+
+    def _worse(self) -> float:  # log latency of earlier servers over their usual before the build came
+        n0, s0, _ = self._totals("own", DEEP)[1][3:]
         return s0 / n0 if n0 >= LEVEL_LEAST and self.news.phase is it.Phase.TRIAL else 0.0
 
-    def _vote(self, verdict: it.Verdict, why: str) -> None:
-        """DESIGN: one draw each vote life; a vote that stands is not cast again."""
-        vote = (self.news.build, self.news.stage, verdict)
+    def _vote(self, verdict: it.Verdict, why: str) -> None:  # DESIGN: one draw each vote life
+        vote = self.news.build, self.news.stage, verdict
         stands = self.last_vote == vote and self.now - self.vote_at < self.roll.vote_life_ms
         if stands or (verdict is it.Verdict.ON and self.roll.control is it.Control.TIMER):
             return
         self.last_vote, self.vote_at = vote, self.now
-        if self.rng.random() < self.roll.calls_per_s * self.roll.vote_life_ms / 1000 / (2 * self.s.agents):
-            self.out.append(it.CastVote(self.news.build, self.news.stage, verdict))
+        if self.rng.random() * 2000 * self.s.agents < self.roll.calls_per_s * self.roll.vote_life_ms:
+            self.out.append(it.CastVote(*vote))
             self.out.append(it.Log(f"build {vote[0]} stage {vote[1]}: vote {verdict.name} on {why}"))
 
     # --- routing ---
-    def _cost(self, server: Server) -> float:
-        """What a request may expect there: own open work, seen slowness, failures, a stall, the crossing."""
+    def _cost(self, server: Server) -> float:  # own open work, seen slowness, failures, a stall, the crossing
         stall = 1.0 + (self.now - next(iter(server.open.values()), self.now)) / (2 * max(self.usual))
         cross = CROSS if server.entry.zone != self.s.zone and self.s.cross_zone_price else 1.0
         return (len(server.open) + 1) * max(server.slow, 0.2) * stall * cross / max(server.ok, 0.1) ** 2
 
-    def _choose(self, job: Job) -> Server | None:
-        part = self._part(job.request)
-        can = [s for s in self.servers.values() if len(s.open) < s.limit * part and self.may_send(job, s)]
-        stable = [s for s in can if self._cap(s.entry.build) is None]
-        if stable and len(stable) < len(can):
-            can = [s for s in can if s not in stable] if not job.attempts and self._fill(job) else stable
-        used = {a.server.id for a in job.attempts}
-        can = [s for s in can if s.ok >= DEAD_OK and s.id not in used] or can
-        near = [s for s in can if s.entry.zone == self.s.zone and self.s.cross_zone_price] or can
-        return min(self.rng.choice(near), self.rng.choice(can), key=self._cost) if can else None  # DESIGN
-
-    def _fill(self, job: Job) -> bool:
-        """DESIGN: trial first sends fill the cap; ours: not beyond an even share a trial server."""
+    def _rank(self) -> None:  # each bin and after news: who is on trial and who not, the trial's even share
         ready, speed = [s for s in self.servers.values() if s.ready], self.speed.get
-        weights = [s.entry.weight * self._able(s) * s.ok / math.exp(speed(s.entry.kind, 0.0)) for s in ready]
-        trial = [i for i, s in enumerate(ready) if self._cap(s.entry.build) is not None]
-        new, new_weight = max(ready[i].entry.build for i in trial), sum(weights[i] for i in trial)
-        tries, asked = self._exposed(new, job.cls)
-        places = sum(weights) - (new_weight if self.roll.replacement is it.Replacement.BESIDE else 0.0)
-        room = FILL * (self.roll.free + (self._cap(new) or 0.0) * asked)
-        share = min(room / max(asked, 1), FAIR * new_weight / max(places, new_weight, 1e-9))
-        # by chance, not greedily: a window filled in one go is a burst that a cold server queues for seconds
-        return not self.tripped and tries < room and self.rng.random() < share
-
-    def _part(self, request: it.Request) -> float:
-        """Part of a server's bound open to a request: the least worth for its work is refused first."""
+        for server in ready:
+            server.ok = 1 - (1 - server.ok) * (1 - HEAL) ** (self.bins - self.healed)
+        self.ranked = self.healed = self.bins
+        groups = [[s for s in ready if (self._cap(s.entry.build) is None) is old] for old in (True, False)]
+        self.new, self.fleet = max((s.entry.build for s in groups[1]), default=0), max(len(ready), 1)
+        zone = self.s.zone if self.s.cross_zone_price else -1
+        self.groups = [[[s for s in group if s.entry.zone == zone], group] for group in groups]
+        old, new = (sum(s.entry.weight * self._able(s) * s.ok / math.exp(speed(s.entry.kind, 0.0))
+                        for s in group) for group in groups)
+        places = old + new * (self.roll.replacement is it.Replacement.IN_PLACE)
+        self.even = FAIR * new / max(places, new, 1e-9)
+
+    def _choose(self, job: Job) -> Server | None:
+        if self.ranked != self.bins:
+            self._rank()
+        used, part = {a.server.id for a in job.attempts}, LEAST_PART + (1 - LEAST_PART) * self._worth(job)
+
+        def fits(server: Server) -> bool:
+            return len(server.open) < server.limit * part and self.may_send(job, server)
+
+        fill = not job.attempts and self.groups[1][1] and self._fill(job)
+        for near, every in (groups := self.groups[::-1] if fill else self.groups):
+            few = [self.rng.sample(some, min(DRAWN, len(some))) for some in (near, every)]
+            for some in (few, (near, every)):
+                close, can = ([s for s in those if s.ok >= DEAD_OK and s.id not in used and fits(s)]
+                              for those in some)
+                if close or can:  # DESIGN: two random choices
+                    return min(self.rng.choice(close or can), self.rng.choice(can or close), key=self._cost)
+        can = [s for _, every in groups for s in every if fits(s)]
+        return min(self.rng.choice(can), self.rng.choice(can), key=self._cost) if can else None
+
+    def _fill(self, job: Job) -> bool:  # DESIGN: trial first sends fill the cap; ours: up to an even share
+        tries, asked = self._exposed(self.new, job.cls)
+        room = FILL * (self.roll.free + (self._cap(self.new) or 0.0) * asked)
+        # by chance: a window filled in one go is a burst that a cold server queues for seconds
+        return not self.tripped and tries < room and self.rng.random() < min(room / max(asked, 1), self.even)
+
+    def _worth(self, job: Job) -> float:  # for its work, over the best class's: the least is refused first
         worth = [c.worth * (self.s.worth_by_work or 1 / self.usual[i]) for i, c in enumerate(self.s.classes)]
-        rank = worth[request.cls] / max(*worth, 1e-9)
-        if self.by_tenant:  # by its part of what comes here: a rate wrongs all once other agents are down
-            sent = [window.count(self.now) for window in self.by_tenant]
-            over = sent[request.tenant] > OVER_SHARE * self.s.tenants[request.tenant].share * sum(sent)
-            rank *= self.s.over_share_worth if over else 1.0
-        return LEAST_PART + (1 - LEAST_PART) * rank
+        # a tenant by its part of what comes here: a rate wrongs all once other agents are down
+        sent, tenant = [window.count(self.now) for window in self.by_tenant], job.request.tenant
+        over = sent and sent[tenant] > OVER_SHARE * self.s.tenants[tenant].share * sum(sent)
+        return worth[job.cls] / max(*worth, 1e-9) * (self.s.over_share_worth if over else 1.0)
+
+    def _hopeless(self, job: Job) -> bool:  # by chance, when most sent of a class or tenant brings no worth
+        # against jams that feed on themselves, retry storms, a class or tenant that is late at every server
+        cells = [self.tried[c] for c in job.cells]
+        times = TRY_LEAST + (TRY_MOST - TRY_LEAST) * self._worth(job)
+        return self.rng.random() < max((tried - times * gain) / (tried + 1) for tried, gain in cells)
 
     # --- request life ---
     def _request(self, request: it.Request) -> None:
@@ -441,28 +449,20 @@
         self.asked[request.cls].times.append(self.now)
         if self.by_tenant:
             self.by_tenant[request.tenant].times.append(self.now)
-        self._send(job)
+            job.cells.append(self.n + request.tenant)
+        (self._give_up if self._hopeless(job) else self._send)(job)
 
     def _send(self, job: Job) -> None:
-        """Send an attempt, hold the request a little while none may go, or end it."""
-        server = self._choose(job) if self.now < job.useful else None
-        if server is None:
-            # rule 1: a short client budget ends between two ticks, so the last look is well before it
-            patience = min(self.now + HOLD_PART * self.s.classes[job.cls].aim_ms, job.useful - 2 * TICK_MS)
-            if self.now >= self.held.setdefault(job.id, patience):
-                self._give_up(job)
-            return
-        self.held.pop(job.id, None)
-        self.retries = self.retries - 1 if job.attempts else min(self.retries + RETRY_PART, RETRY_MOST)
-        leg, cold = (job.id, len(job.attempts)), self._age(server) < self.s.rules.cold_ms + 2 * BIN_MS
-        attempt = self.away[leg] = Attempt(server, job.cls, self.now, cold)
-        server.open[leg] = self.now
-        server.sent.times.append(self.now)
-        self.sent.times.append(self.now)
-        job.attempts.append(attempt)
-        if self._cap(attempt.build) is not None:
+        if not (server := self._choose(job) if self.now < job.useful else None):
+            return self._give_up(job)
+        leg = job.id, len(job.attempts)
+        self.away[leg], server.open[leg] = Attempt(server, job.cls, self.now), self.now
+        job.attempts.append(self.away[leg])
+        for window in (server.sent, self.sent):
+            window.times.append(self.now)
+        if self._cap(server.entry.build) is not None:
             span = self.roll.window_ms + 2 * self.s.tick_ms
-            self.tries.setdefault((attempt.build, job.cls), Window(span)).times.append(self.now)
+            self.tries.setdefault((server.entry.build, job.cls), Window(span)).times.append(self.now)
         self.out.append(it.Send(job.id, server.id, job.useful))
 
     def _outcome(self, event: it.Outcome) -> None:
@@ -474,37 +474,40 @@
         if not (job := self.jobs.get(event.request)):
             return
         if event.status is it.Status.OK and self.roll.one_way and job.request.key:
-            self.answered[job.request.key] = max(self.answered.get(job.request.key, 0), attempt.build)
+            self.answered[job.request.key] = max(
+                self.answered.get(job.request.key, 0), attempt.server.entry.build)
         if event.over:
-            self._abandoned(it.Abandoned(event.request))
+            late = self.s.classes[job.cls].late_worth if self.now > job.aim else 1.0
+            self._over(job, late if event.status is it.Status.OK else 0.0)
         elif not any(a.live for a in job.attempts):
-            again = self.retries >= 1 and any(self.may_send(job, s) for s in self.servers.values())
-            (self._send if again else self._give_up)(job)
+            (self._give_up if self._hopeless(job) else self._send)(job)
 
     def _abandoned(self, event: it.Abandoned) -> None:
-        self.jobs.pop(event.request, None)
-        self.held.pop(event.request, None)
+        if job := self.jobs.get(event.request):
+            self._over(job, 0.0)
 
-    def _give_up(self, job: Job) -> None:
-        """The final answer at once: a refusal where trying again does no harm, else a failure."""
+    def _over(self, job: Job, gain: float) -> None:
+        del self.jobs[job.id]
+        for cell in job.cells if job.attempts else ():
+            self.tried[cell] = self.tried[cell][0] + 1.0, self.tried[cell][1] + gain
+
+    def _give_up(self, job: Job) -> None:  # at once: a refusal where trying again does no harm
         cls, limits = self.s.classes[job.cls], self.s.limits
         harmless = cls.effect is it.Effect.SAFE or (cls.effect, cls.scope) == (it.Effect.KEYED, it.Scope.ALL)
-        back = min(REFUSED_MS, limits.max_retry_after_ms) if limits.retry_after else 0.0
         clean = harmless or all(a.unrun for a in job.attempts)
+        back = min(REFUSED_MS, limits.max_retry_after_ms) if limits.retry_after else 0.0
         self.out.append(it.Refuse(job.id, back) if clean else it.Fail(job.id))
-        self._abandoned(it.Abandoned(job.id))
+        self._over(job, 0.0)
 
     # --- rule guards: the one place that decides whether an attempt may be sent ---
-    def _cap(self, build: int) -> float | None:
-        """The exposure cap of a build on trial, None for one that is not; one not yet named is in stage 0."""
+    def _cap(self, build: int) -> float | None:  # cap on trial, else None; not yet named: stage 0
         if build > self.news.build:
             return self.roll.stage_cap[0]
         if build < self.news.build or self.news.phase is it.Phase.RELEASED:
             return None
         return 0.0 if self.news.phase is it.Phase.WITHDRAWN else self.news.cap
 
-    def _exposed(self, build: int, cls: int) -> tuple[int, int]:
-        """Attempts at the build and requests taken within the window, of the class or of all as counted."""
+    def _exposed(self, build: int, cls: int) -> tuple[int, int]:  # attempts, requests in the window
         classes = [cls] if self.roll.per_class else range(self.n)
         tries = sum(self.tries[build, c].count(self.now) for c in classes if (build, c) in self.tries)
         return tries, sum(self.asked[c].count(self.now) for c in classes)
@@ -512,8 +515,7 @@
     def _age(self, server: Server) -> float:
         return self.now - server.entry.started_ms if server.entry.started_ms > 0 else math.inf
 
-    def _able(self, server: Server) -> float:
-        """Least part of its capacity that a server has had throughout the fall window; 1 once warm."""
+    def _able(self, server: Server) -> float:  # least part of its capacity throughout the fall window
         start, warm = self.s.rules.start_capacity, max(self.s.rules.cold_ms, 1.0)
         return start + (1.0 - start) * min(1.0, max(0.0, self._age(server) - self.s.rules.fall_ms) / warm)
 
@@ -528,8 +530,9 @@
         if ran:  # rule 2
             if cls.effect is it.Effect.UNSAFE or (any(a.live for a in ran) and not limits.second_copies):
                 return False
-            away = {it.Scope.ALL: False, it.Scope.ZONE: entry.zone != ran[0].zone,
-                    it.Scope.CELL: entry.cell != ran[0].cell}[cls.scope]
+            first = ran[0].server.entry
+            away = (cls.scope is it.Scope.ZONE and entry.zone != first.zone) or (
+                cls.scope is it.Scope.CELL and entry.cell != first.cell)
             if cls.effect is it.Effect.KEYED and (away or self.now - ran[0].sent >= cls.repeat_window_ms):
                 return False
         if (cap := self._cap(entry.build)) is not None:  # rule 5
@@ -539,7 +542,7 @@
             if cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked:
                 return False
         if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, not what was asked
-            even = self.sent.count(self.now) / sum(s.ready for s in self.servers.values())
+            even = self.sent.count(self.now) / self.fleet
             budget = COLD_PART * rules.fall_multiple * self._able(server) * even
             return server.sent.count(self.now) + 1 <= max(1.0, budget)
         return True
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -167,6 +167,7 @@
     drive = Drive(settings(rollout={"tally_ms": 2000.0}), servers=8)
     play(drive, good, 4.0)
     drive.news(2, 0, it.Phase.TRIAL, 0.14)
+    drive.list(entry(20, build=2, started=drive.now))
     drive.give(it.Tally(1, 0, 200, 0, 100.0, 500.0))
     drive.give(it.Tally(2, 0, 20, 8, 100.0, 500.0))
     assert [v.verdict for v in play(drive, good, 1.0)] == [it.Verdict.BACK]
@@ -175,6 +176,7 @@
 def test_a_vote_that_was_lost_is_cast_again() -> None:
     drive = Drive(settings(rollout={"tally_ms": 2000.0}), servers=8)
     drive.news(2, 0, it.Phase.TRIAL, 0.14)
+    drive.list(entry(20, build=2, started=drive.now))
     drive.give(it.Tally(2, 0, 20, 12, 100.0, 500.0))
     assert len(play(drive, good, 2.0)) == 1
     drive.give(it.StageNews(0, 0, it.Phase.TRIAL, True, it.Status.TIMEOUT, 0.0, 0.0))
