--- a/otterquay/benchlink/settings.py
+++ b/otterquay/benchlink/settings.py
@@ -57,6 +57,7 @@
         max_attempts=int(data.get("sendCap", 1)),
         max_open=int(data.get("maxOpen", 1)),
         max_retry_after_ms=float(data.get("maxRetryAfterMs", 0.0)),
+        keepalive_ms=float(data.get("keepaliveMs", 0.0)),
     )
 
 
--- a/otterquay/interface.py
+++ b/otterquay/interface.py
@@ -147,6 +147,7 @@
     max_attempts: int
     max_open: int
     max_retry_after_ms: float
+    keepalive_ms: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -15,37 +15,36 @@
 OUTCOMES_LEAST, FRESH_MS = 20, 2000.0  # DESIGN: trial outcomes for a vote; servers listed later are left out
 T_LIMIT = (12.71, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228)  # DESIGN: 0.05, by freedom
 PASS_MEAN, POINTS_LEAST, POINTS_MOST, POOL_BINS = 0.9, 4, 12, 40  # DESIGN: mean to go on; ours: points, bins
-ERROR_MARGIN = 0.025  # DESIGN: five points over the earlier build; half, as late failures start small
-CLASS_LEAST, LEARN, SIGMAS = 3, 0.03, 2.3  # outcomes a class, times the stage; learning rate; sure of a level
-CHANCE, SURE, SPREAD, MACHINES = 0.01, 0.001, 0.6, 3  # share laid to chance; sure if rarer; machines hit
-LEVEL_LEAST, SERVER_NOISE, LEVEL_BACK = 20, 0.08, math.log(1.8)  # latencies; variance among servers; slower
-WORSE, WORSE_BINS = math.log(1.4), 14  # all servers slower by this: no step on; for so many bins: back
+POOLS = [(name, span) for name in ("own", "tally") for span in (POOL_BINS, DEEP)]
+ERROR_MARGIN, CHANCE, SURE = 0.025, 0.01, 0.001  # DESIGN's five points halved; laid to chance; sure if rarer
+CLASS_LEAST, LEARN, SIGMAS, SPREAD, MACHINES = 3, 0.03, 2.3, 0.6, 3  # outcomes; rate; sure; machines hit
+LEVEL_LEAST, LEVEL_BACK, NOISE, SERVER_NOISE = 20, math.log(1.8), 0.5, 0.08  # latencies; slower; variances
+WORSE, WORSE_BINS, JAM = math.log(1.4), 14, 0.2  # all slower by this: no step on, so long: back; part lost
 SEEN_PART, SETTLE_MS = 0.7, 20000.0  # a stage's servers seen before a step; restarted agents wait
-JUDGES, NOTE_WORTH, TELL_MS = 5, 8.0, 2000.0  # agents that the others tell; outcomes, time that a note waits
+JUDGES, NOTE_WORTH, TELL_MS, JUDGE_MORE = 5, 8.0, 2000.0, 0.1  # told by all; a note's; more trial for them
 FILL, FAIR, COLD_PART = 0.95, 1.3, 0.85  # most used of the cap, of an even trial share, of a cold budget
 DRAWN, CROSS, REFUSED_MS = 3, 1.3, 400.0  # servers drawn to choose from; crossing cost; come-back
+KEPT_LEAST, KEPT_GAPS, REFUSED_PART = 3, 2.0, 0.1  # servers kept: least; asks a keep-alive; connects refused
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.35, 0.6  # own open work a server may hold at first; parts of the aim:
 SHRINK, SHRINK_MS = 0.75, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 OVER_SHARE, LEAST_PART = 1.25, 0.5  # times its share a tenant is over it; part of a bound open to least worth
-TRY_LEAST, TRY_MOST, FADE = 1.1, 1.6, 0.9  # tried over what brought worth, least to most; kept of it a bin
+TRY_LEAST, TRY_MOST, FADE, SHED = 1.2, 1.6, 0.9, 0.7  # tried over what brought worth; a bin; weight of shed
 DEAD_OK, HEAL = 0.4, 0.04  # health below which a server is avoided; health regained a bin, to try it again
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
 
 
 # --- state ---
-class Window:  # how many things happened within the last `span` ms
-    def __init__(self, span: float) -> None:
-        self.span, self.times = span, list[float]()
-
-    def count(self, now: float) -> int:
-        del self.times[:bisect_right(self.times, now - self.span)]
-        return len(self.times)
+def recent(times: list[float], since: float) -> int:  # how many are later; the others are dropped
+    del times[:bisect_right(times, since)]
+    return len(times)
 
 
 class Server:  # what the list says of a server and what we have seen of it since it started
-    def __init__(self, entry: it.ServerEntry, now: float, fall_ms: float) -> None:
-        self.id, self.entry, self.listed, self.sent = entry.server, entry, now, Window(fall_ms)
+    def __init__(self, entry: it.ServerEntry, now: float, me: int) -> None:
+        self.id, self.entry, self.listed, self.sent = entry.server, entry, now, list[float]()
+        # rendezvous hashing: an order of the agent's own, and the first few of all agents are even
+        self.key, self.linked = random.Random(me << 32 | entry.server).random(), -math.inf  # last answer
         self.open, self.ready = dict[tuple[int, int], float](), True  # own attempts out there: when sent
         self.ok, self.slow, self.limit, self.shrunk, self.seen, self.errors = 1.0, 1.0, OPEN_FIRST, 0.0, 0, 0
         self.bin: dict[int, list[float]] = {}  # by class this bin's latencies, nan for an error
@@ -74,17 +73,16 @@
         aim = cls.aim_ms + cls.aim_stretch * (request.work_hint_ms if request.hinted else 0.0)
         useful = min(request.budget_ms, cls.deadline_ms if cls.late_worth > 0 else aim)  # then free it
         self.until, self.useful = now + request.budget_ms, now + useful
-        self.aim, self.attempts, self.cells = now + aim, list[Attempt](), [request.cls]
+        self.aim, self.attempts, self.cells, self.weight = now + aim, list[Attempt](), [request.cls], 0.0
 
 
 # --- evidence and scoring: small pure functions ---
-def scaled(series: Sequence[float]) -> list[float]:  # Bring a series to 0..1; a flat one becomes zeros
+def scaled(series: Sequence[float]) -> list[float]:  # to 0..1; a flat one becomes zeros
     low, high = min(series), max(series)
     return [(x - low) / (high - low) if high > low else 0.0 for x in series]
 
 
-def dtw(a: Sequence[float], b: Sequence[float]) -> float:
-    """Dynamic time warping distance by absolute differences."""
+def dtw(a: Sequence[float], b: Sequence[float]) -> float:  # dynamic time warping, absolute differences
     row = [0.0] + [math.inf] * len(b)
     for x in a:
         last, row[0] = row[0], math.inf
@@ -93,21 +91,18 @@
     return row[-1]
 
 
-def distance(a: Sequence[float], b: Sequence[float]) -> float:
-    """Distance a bin, over the bins both series have."""
+def distance(a: Sequence[float], b: Sequence[float]) -> float:  # a bin, over the bins both have
     depth = min(len(a), len(b))
     one, other = scaled(list(a)[-depth:]), scaled(list(b)[-depth:])
     return dtw(one, other) / depth if any(one) or any(other) else 0.0
 
 
-def metric_score(found: float, baseline: Sequence[float]) -> float:
-    """DESIGN: 1 up to mean plus variance, 0 beyond the maximum, linearly to 0.9 between."""
+def metric_score(found: float, baseline: Sequence[float]) -> float:  # DESIGN: by mean, variance, maximum
     edge, most = fmean(baseline) + pvariance(baseline), max(baseline)
     return 1.0 if found <= edge else 0.0 if found > most else 1.0 - 0.1 * (found - edge) / (most - edge)
 
 
-def settled(points: Sequence[float]) -> bool:
-    """DESIGN: a t-test finds the halves of the score series alike; flat halves count as settled."""
+def settled(points: Sequence[float]) -> bool:  # DESIGN: halves that a t-test finds alike, or flat ones
     if len(points) < POINTS_LEAST:
         return False
     a, b, df = points[:len(points) // 2], points[len(points) // 2:], len(points) - 2
@@ -115,30 +110,26 @@
     return abs(fmean(a) - fmean(b)) <= T_LIMIT[min(df, len(T_LIMIT)) - 1] * math.sqrt(spread)
 
 
-def tail(n: float, x: float, p: float) -> float:
-    """Chance of x or more errors in n outcomes at error share p, by Poisson's law: a little too high."""
+def tail(n: float, x: float, p: float) -> float:  # chance of x or more errors in n, by Poisson's law
     term = total = math.exp(-min(n * p, 700.0))
     for k in range(1, round(x)):
         term, total = term * n * p / k, total + term * n * p / k
     return max(0.0, 1.0 - total) if x >= 1 and n * p < 700 else 1.0
 
 
-class Agent:
-    """One agent: hand it every event in order, carry out the actions it returns."""
-
+class Agent:  # hand it every event in order, carry out the actions it returns
     def __init__(self, settings: it.Settings, seed: int) -> None:
         self.s, self.roll, self.n = settings, settings.rollout, len(settings.classes)
         self.rng, self.now, self.out = random.Random(seed), 0.0, list[it.Action]()
         self.servers, self.jobs = dict[int, Server](), dict[int, Job]()
         self.away: dict[tuple[int, int], Attempt] = {}  # attempts without an outcome
-        # a window of requests a little short and of attempts a little long: edges fall between two ticks
-        self.asked = [Window(self.roll.window_ms - 4 * settings.tick_ms) for _ in settings.classes]
-        self.tries = dict[tuple[int, int], Window]()  # (build, class): attempts in the exposure window
-        self.sent, self.by_tenant = Window(settings.rules.fall_ms), [Window(1e3) for _ in settings.tenants]
+        self.tries = dict[tuple[int, int], list[float]]()  # (build, class): when attempts were made
+        self.sent, self.asked = list[float](), [list[float]() for _ in settings.classes]
+        self.by_tenant = [list[float]() for _ in settings.tenants]
         self.tried = [(0.0, 0.0)] * (self.n + len(settings.tenants))  # by class, tenant: sent, brought worth
         self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
-        self.usual, self.speed = [c.aim_ms / 4 for c in settings.classes], dict[int, float]()  # log, by kind
-        self.next_watch = 0.0 if settings.discovery is it.Discovery.ASK else math.inf
+        self.usual, self.calm = [c.aim_ms / 4 for c in settings.classes], [0] * self.n  # how many it rests on
+        self.unwatched, self.refused = settings.discovery is it.Discovery.ASK, 0.0  # part of connects
         self.next_bin, self.tell_at, self.settle, self.vote_at = 0.0, 0.0, 0.0, -math.inf
         self.news = it.StageNews(0, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, 0.0)
         self.baseline = [deque[float](maxlen=BASELINE_BINS * PAIRS_A_BIN) for _ in range(2 * self.n)]
@@ -147,26 +138,25 @@
         self.bins, self.ranked, self.healed, self.points = 0, -1, 0, deque[float](maxlen=POINTS_MOST)
         # evidence must be whole somewhere: where agents may talk, all tell a few, spread over their numbers
         self.judges = sorted({i * settings.agents // JUDGES for i in range(JUDGES * settings.limits.peers)})
-        # an evidence row: by class trial outcomes, errors, earlier ones; log-latency n, sum, squares of both
-        self.none, self.late_bins, self.worse_bins, self.shared = [0.0] * (4 * self.n + 6), 0, 0, False
-        self.before, self.last_vote = dict[tuple[str, int], float](), (0, 0, it.Verdict.NONE)  # error shares
+        # an evidence row: by class trial outcomes, errors, earlier ones; log-latency n, sum of both
+        self.none, self.late_bins, self.worse_bins, self.shared = [0.0] * (4 * self.n + 4), 0, 0, False
+        self.before, self.last_vote = dict[tuple[str, int, int], float](), (0, 0, it.Verdict.NONE)
         self._forget()
 
     def _forget(self) -> None:  # a new build: nothing seen of the last one speaks of it
-        self.tripped, (self.fresh, self.heard, self.untold, self.tallied) = "", [self.none[:] for _ in range(4)]
-        self.pools = {(name, span): self.none for name in ("own", "tally") for span in (POOL_BINS, DEEP)}
+        self.fresh, self.heard, self.untold, self.tallied = (self.none[:] for _ in range(4))
+        self.tripped, self.pools = "", dict.fromkeys(POOLS, self.none)
+        self.told: dict[int, tuple[float, int, float]] = {}  # class: when, answers, mean of the earlier build
 
-    def handle(self, now: float, event: it.Event) -> list[it.Action]:
-        """What to do about one event; one that we have no use for is passed over."""
+    def handle(self, now: float, event: it.Event) -> list[it.Action]:  # passes over what is of no use
         self.now, self.out = now, []
         getattr(self, f"_{type(event).__name__.lower()}", lambda _: None)(event)
         return self.out
 
     def _timerfired(self, _: it.Started | it.TimerFired) -> None:
-        if self.now >= self.next_watch:
-            self.next_watch = math.inf  # until we hear that it failed or was dropped
-            self.out.append(it.Watch(True))
         if self.now >= self.next_bin:
+            self.out.extend([it.Watch(True)] * self.unwatched)  # again where it failed or was dropped
+            self.unwatched = False
             self._close_bin()
             self.next_bin = max(self.next_bin, self.now - BIN_MS / 2) + BIN_MS  # none for time we stood still
             self.out.append(it.SetTimer(self.next_bin - self.now, 0))
@@ -175,7 +165,7 @@
 
     def _serverlist(self, news: it.ServerList) -> None:
         if news.kind is it.ListKind.FAILED:
-            self.next_watch = self.now + BIN_MS
+            self.unwatched = True
             return
         named = {e.server for e in news.entries}
         for server in self.servers.values():
@@ -184,7 +174,7 @@
             known = self.servers.get(entry.server)
             # a restart, or another build under a known id: what we knew of it is void and it is cold
             if not known or (known.entry.build, known.entry.started_ms) != (entry.build, entry.started_ms):
-                known = self.servers[entry.server] = Server(entry, self.now, self.s.rules.fall_ms)
+                known = self.servers[entry.server] = Server(entry, self.now, self.s.me)
             known.entry, known.ready = entry, entry.state is it.ServerState.READY
         self.ranked = -1
 
@@ -201,18 +191,17 @@
         if (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.points.clear()
             self.late_bins, self.worse_bins, self.last_vote = 0, 0, (0, 0, it.Verdict.NONE)
-            if news.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN):
-                self.answered.clear()
+            self.answered = {} if news.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN) else self.answered
 
     # --- evidence ---
-    def _book(self, row: list[float], build: int, cls: int, outcomes: int, errors: int) -> None:
+    def _book(self, row: list[float], build: int, at: int, *values: float) -> None:  # at a class or levels
         if build <= self.news.build:
-            at = 4 * cls + 2 * (build < self.news.build)
-            row[at], row[at + 1] = row[at] + outcomes, row[at + 1] + errors
+            for i, value in enumerate(values, at + len(values) * (build < self.news.build)):
+                row[i] += value
 
     def _see(self, server: Server, cls: int, value: float, outcomes: int) -> None:
         server.bin.setdefault(cls, []).append(value)
-        self._book(self.fresh, server.entry.build, cls, outcomes, value != value)
+        self._book(self.fresh, server.entry.build, 4 * cls, outcomes, value != value)
 
     def _learn(self, attempt: Attempt, status: it.Status, latency: float) -> None:
         server, cls, good = attempt.server, attempt.cls, status is it.Status.OK
@@ -225,18 +214,19 @@
         elif (latency > TARDY * aim or status in UNRUN) and self.now - server.shrunk > SHRINK_MS:
             server.shrunk = self.now
             server.limit = max(min(server.limit, 2.0 * len(server.open) + 2.0) * SHRINK, 1.0)
+        if good or status is it.Status.CONNECT_FAILED:
+            server.linked = self.now if good else -math.inf
+        self.refused += ((status is it.Status.CONNECT_FAILED) - self.refused) * 0.1
         if good or status is it.Status.TIMEOUT:
-            log, kind = math.log(latency / self.usual[cls]), server.entry.kind
+            log = math.log(latency / self.usual[cls])
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
             calm = self.news.phase is not it.Phase.TRIAL  # on trial, the usual stays what it was before
-            self.usual[cls] += (latency - self.usual[cls]) * LEARN if good and calm else 0.0
+            self.calm[cls] += good and calm  # learnt quickly at first: a quiet agent has few
+            learn = max(LEARN, 1 / (self.calm[cls] + 1)) * (good and calm)
+            self.usual[cls] += (latency - self.usual[cls]) * learn
             warm = attempt.sent - server.entry.started_ms > self.s.rules.cold_ms + 2 * BIN_MS
-            if build <= self.news.build and warm:  # any build is slow on a cold server
-                earlier = build < self.news.build
-                log -= self.speed.setdefault(kind, 0.0)  # and a slow kind of machine is no slow build
-                self.speed[kind] += LEARN * log * earlier * calm
-                for i in range(3):
-                    self.fresh[4 * self.n + 3 * earlier + i] += log ** i
+            if warm:  # any build is slow on a cold server
+                self._book(self.fresh, build, 4 * self.n, 1.0, log)
         if good or status is it.Status.ERROR:  # lost connections and full queues tell of machines, not builds
             self._see(server, cls, latency if good else math.nan, 1)
 
@@ -245,7 +235,17 @@
             self._see(server, event.cls, math.nan, 0)
 
     def _tally(self, event: it.Tally) -> None:
-        self._book(self.tallied, event.build, event.cls, event.attempts, event.failures)
+        when, good = self.now - event.age_ms, event.attempts - event.failures
+        self._book(self.tallied, event.build, 4 * event.cls, event.attempts, event.failures)
+        if event.build < self.news.build:
+            self.told[event.cls] = when, good, event.mean_ms
+        # level against the earlier build's of the class and time: what slows all or one class is no build's
+        then, old, old_ms = self.told.get(event.cls, (-math.inf, 0, 0.0))
+        cold, n = self.s.rules.cold_ms + self.roll.tally_ms + event.age_ms, min(good, old)
+        warm = all(self._age(s) > cold for s in self.servers.values() if s.ready)
+        if event.build == self.news.build and warm and n > 0 and when - then < 1.5 * self.roll.tally_ms:
+            log = math.log(event.mean_ms / old_ms)
+            self._book(self.tallied, event.build, 4 * self.n, n, n * log, n, 0.0)
 
     def _totals(self, name: str, span: int) -> tuple[list[list[float]], list[float]]:  # classes, all; levels
         sums = self.pools[name, span]
@@ -274,8 +274,7 @@
         for server in filter(lambda s: s.series or s.bin, self.servers.values()):
             server.close()
         judged = self.news.build > 0 and self.news.phase in (it.Phase.TRIAL, it.Phase.RELEASED)
-        if judged:
-            self._tell()
+        self._tell()
         judge, own = not self.judges or self.s.me in self.judges, sum(self.fresh[:4 * self.n:4])
         row = [x + y for x, y in zip(self.fresh, self.heard, strict=True)]
         # a bin in which nothing came changes no mind; who tells its evidence votes back on it, never on
@@ -292,9 +291,9 @@
         scores = list[float]()
         for metric, past in enumerate(self.baseline if judge else ()):
             old, new = ([s for s in group if metric in s.series] for group in (earlier or trial, trial))
-            past.extend(self._distances(old, old, metric))
-            found = self._distances(new, old, metric)
-            if found and earlier and len(past) >= PAIRS_LEAST:
+            found = self._distances(new, old, metric)  # DESIGN: lacking earlier ones, the last baseline stays
+            past.extend(self._distances(old, old, metric) if earlier or not judged else ())
+            if found and len(past) >= PAIRS_LEAST:
                 scores.append(metric_score(fmean(found), past))
         if judged:
             self._judge(scores, trial, earlier, own)
@@ -322,17 +321,15 @@
 
     def _enough(self, trial: list[Server], earlier: list[Server]) -> bool:  # would failure have shown?
         pools = [self._totals(name, POOL_BINS) for name in ("own", "tally")]
-        n1, s1, _, n0, s0, _ = pools[0][1]  # after the first stage, its servers are warm: a slow build shows
-        if self.news.stage and n0 >= LEVEL_LEAST and (n1 < LEVEL_LEAST or s1 / n1 - s0 / n0 > LEVEL_BACK):
-            return False
         places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
         unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
-        if self._worse() > WORSE or unseen or self.now < self.settle:
-            return False  # all slower, by a burst or by the build; its servers not seen; too new here to tell
-        failing = any(x > 1.5 and x > 2 * ERROR_MARGIN * n for rows, _ in pools for n, x, _, _ in rows)
-        least = CLASS_LEAST * (1 + self.news.stage)
-        seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(rows)[0] >= least for rows, _ in pools)
-        return seen and not (failing and self.shared)
+        jam = max(gain / (tried + 0.01) for tried, gain in self.tried[:self.n]) < 1 - JAM or min(
+            old_x / max(old_n, 1) for _, _, old_n, old_x in pools[1][0]) > JAM
+        failing = self.shared and any(x > max(1.5, 2 * ERROR_MARGIN * n, 2 * old_x / max(old_n, 1) * n)
+                                      for rows, _ in pools for n, x, old_n, old_x in rows)
+        seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(rows)[0] >= CLASS_LEAST * (1 + self.news.stage)
+                   for rows, _ in pools)
+        return seen and not (unseen or jam or failing or self.worse_bins or self.now < self.settle)
 
     def _breaker(self, trial: list[Server], earlier: list[Server], own: float) -> str:  # DESIGN, but surer
         mates = [s for s in self.servers.values() if s.entry.build == self.news.build]
@@ -341,40 +338,37 @@
         alike = hit >= max(2, SPREAD * len(known) * (1 - (1 - 1 / len(known)) ** sum(known)))
         self.shared = len(mates) == 1 or 2 * sum(known) < total or alike  # what peers saw, was elsewhere
         for name, span in self.pools:
-            rows, (n1, s1, q1, n0, s0, q0) = self._totals(name, span)
+            rows, (n1, s1, n0, s0) = self._totals(name, span)
             # of many that judge on evidence of their own, one errs by chance
             many = max(self.s.agents, 1) if name == "own" and self.s.me not in self.judges else 1
             for cls, (n, x, old_n, old_x) in enumerate(rows):
                 if old_n >= LEVEL_LEAST:  # DESIGN: lacking earlier servers, the last baseline stays
-                    self.before[name, cls] = (old_x + 0.5) / (old_n + 1)
-                usual, part = self.before.get((name, cls), CHANCE), n / max(rows[-1][0], n, 1)
-                odd = tail(rows[-1][1], x, part)  # chance that errors of all classes alike fall on this one
+                    self.before[name, span, cls] = (old_x + 0.5) / (old_n + 1)
+                usual = max(self.before.get((name, some, cls), CHANCE) for some in (POOL_BINS, DEEP))
+                odd = tail(rows[-1][1], x, n / max(rows[-1][0], n, 1))  # by chance on one class of all alike
                 # while machines of the earlier build fail too, errors of all classes alike may be machines'
-                surely = odd < CHANCE or (alike and hit >= min(MACHINES, len(mates)))
-                if (surely or (self.shared and usual <= CHANCE)) and x > max(
+                surely = (odd < CHANCE or (alike and hit >= MACHINES)) and x > MACHINES * usual * n
+                if total > 1.5 and (surely or (self.shared and usual <= CHANCE)) and x > max(
                         1.5, (usual + ERROR_MARGIN) * n) and tail(max(n, x), x, usual + CHANCE) < SURE / many:
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
             if self.news.phase is it.Phase.TRIAL and trial and earlier and min(n1, n0) >= LEVEL_LEAST:
                 m1, m0 = s1 / n1, max(s0 / n0, 0.0)  # idle earlier servers are quicker than usual
-                noise = math.sqrt(max(q1 / n1 - m1 * m1, 0.1) / n1 + max(q0 / n0 - (s0 / n0) ** 2, 0.1) / n0
-                                  + SERVER_NOISE / len(trial))
+                noise = math.sqrt(NOISE / n1 + NOISE / n0 + SERVER_NOISE / len(trial))
                 if m1 - m0 - math.sqrt(SIGMAS ** 2 + 2 * math.log(many)) * noise > LEVEL_BACK:
                     return f"level {name}: {math.exp(m1 - m0):.2f} times the earlier, {n1:.0f} to {n0:.0f}"
         # ours: not while the earlier build is late too or leaves, nor on an old value that empty bins repeat
         late = [c for c, cls in enumerate(self.s.classes if own >= 2 * self.n else ())
                 if self._middle(trial, c) > cls.aim_ms >= self._middle(earlier, c) > 0]
         self.late_bins = self.late_bins + 1 if late and self.news.phase is it.Phase.TRIAL else 0
-        self.worse_bins = self.worse_bins + 1 if self.news.stage and self._worse() > WORSE else 0
-        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else (
-            "all slower since it came" if self.worse_bins >= WORSE_BINS else "")
+        n0, s0 = self._totals("own", DEEP)[1][2:]  # log latency of earlier servers over the usual of before
+        worse = self.news.phase is it.Phase.TRIAL and n0 >= LEVEL_LEAST and s0 / n0 > WORSE
+        self.worse_bins = self.worse_bins + 1 if worse else 0
+        slower = "all slower since it came" if self.news.stage and self.worse_bins >= WORSE_BINS else ""
+        return f"late class {late[0]}" if self.late_bins >= LATE_BINS else slower
 
     def _middle(self, group: list[Server], cls: int) -> float:
         return median([s.series[2 * cls + 1][-1] for s in group if 2 * cls + 1 in s.series] or [0.0])
 
-    def _worse(self) -> float:  # log latency of earlier servers over their usual before the build came
-        n0, s0, _ = self._totals("own", DEEP)[1][3:]
-        return s0 / n0 if n0 >= LEVEL_LEAST and self.news.phase is it.Phase.TRIAL else 0.0
-
     def _vote(self, verdict: it.Verdict, why: str) -> None:  # DESIGN: one draw each vote life
         vote = self.news.build, self.news.stage, verdict
         stands = self.last_vote == vote and self.now - self.vote_at < self.roll.vote_life_ms
@@ -392,7 +386,7 @@
         return (len(server.open) + 1) * max(server.slow, 0.2) * stall * cross / max(server.ok, 0.1) ** 2
 
     def _rank(self) -> None:  # each bin and after news: who is on trial and who not, the trial's even share
-        ready, speed = [s for s in self.servers.values() if s.ready], self.speed.get
+        ready = sorted((s for s in self.servers.values() if s.ready), key=lambda s: s.key)
         for server in ready:
             server.ok = 1 - (1 - server.ok) * (1 - HEAL) ** (self.bins - self.healed)
         self.ranked = self.healed = self.bins
@@ -400,10 +394,10 @@
         self.new, self.fleet = max((s.entry.build for s in groups[1]), default=0), max(len(ready), 1)
         zone = self.s.zone if self.s.cross_zone_price else -1
         self.groups = [[[s for s in group if s.entry.zone == zone], group] for group in groups]
-        old, new = (sum(s.entry.weight * self._able(s) * s.ok / math.exp(speed(s.entry.kind, 0.0))
-                        for s in group) for group in groups)
+        old, new = (sum(s.entry.weight * self._able(s) * s.ok for s in group) for group in groups)
         places = old + new * (self.roll.replacement is it.Replacement.IN_PLACE)
-        self.even = FAIR * new / max(places, new, 1e-9)
+        more = 1 + JUDGE_MORE * (self.s.agents / len(self.judges) - 1) if self.s.me in self.judges else 1.0
+        self.even = FAIR * more * new / max(places, new, 1e-9)
 
     def _choose(self, job: Job) -> Server | None:
         if self.ranked != self.bins:
@@ -415,7 +409,7 @@
 
         fill = not job.attempts and self.groups[1][1] and self._fill(job)
         for near, every in (groups := self.groups[::-1] if fill else self.groups):
-            few = [self.rng.sample(some, min(DRAWN, len(some))) for some in (near, every)]
+            few = [self.rng.sample(kept, min(DRAWN, len(kept))) for kept in map(self._kept, (near, every))]
             for some in (few, (near, every)):
                 close, can = ([s for s in those if s.ok >= DEAD_OK and s.id not in used and fits(s)]
                               for those in some)
@@ -424,8 +418,15 @@
         can = [s for _, every in groups for s in every if fits(s)]
         return min(self.rng.choice(can), self.rng.choice(can), key=self._cost) if can else None
 
+    def _kept(self, group: list[Server]) -> list[Server]:  # few, so that open connections serve again
+        keep = self.s.limits.keepalive_ms
+        many = self._exposed(0, 0, True)[1] / self.roll.window_ms * keep / KEPT_GAPS
+        few = group[:max(KEPT_LEAST, math.ceil(many * len(group) / self.fleet))]
+        linked = [s for s in group if self.now - s.linked < keep] if self.refused > REFUSED_PART else []
+        return linked or few
+
     def _fill(self, job: Job) -> bool:  # DESIGN: trial first sends fill the cap; ours: up to an even share
-        tries, asked = self._exposed(self.new, job.cls)
+        tries, asked = self._exposed(self.new, job.cls, not self.roll.per_class)
         room = FILL * (self.roll.free + (self._cap(self.new) or 0.0) * asked)
         # by chance: a window filled in one go is a burst that a cold server queues for seconds
         return not self.tripped and tries < room and self.rng.random() < min(room / max(asked, 1), self.even)
@@ -433,22 +434,23 @@
     def _worth(self, job: Job) -> float:  # for its work, over the best class's: the least is refused first
         worth = [c.worth * (self.s.worth_by_work or 1 / self.usual[i]) for i, c in enumerate(self.s.classes)]
         # a tenant by its part of what comes here: a rate wrongs all once other agents are down
-        sent, tenant = [window.count(self.now) for window in self.by_tenant], job.request.tenant
+        sent, tenant = [recent(times, self.now - 1e3) for times in self.by_tenant], job.request.tenant
         over = sent and sent[tenant] > OVER_SHARE * self.s.tenants[tenant].share * sum(sent)
         return worth[job.cls] / max(*worth, 1e-9) * (self.s.over_share_worth if over else 1.0)
 
     def _hopeless(self, job: Job) -> bool:  # by chance, when most sent of a class or tenant brings no worth
         # against jams that feed on themselves, retry storms, a class or tenant that is late at every server
-        cells = [self.tried[c] for c in job.cells]
-        times = TRY_LEAST + (TRY_MOST - TRY_LEAST) * self._worth(job)
-        return self.rng.random() < max((tried - times * gain) / (tried + 1) for tried, gain in cells)
+        k = TRY_LEAST + (TRY_MOST - TRY_LEAST) * self._worth(job)
+        shed = self.rng.random() < min((n - k * x) / (n + 1) for n, x in [self.tried[c] for c in job.cells])
+        job.weight = max(job.weight, SHED * shed)
+        return shed
 
     # --- request life ---
     def _request(self, request: it.Request) -> None:
         job = self.jobs[request.request] = Job(request, self.now, self.s.classes[request.cls])
-        self.asked[request.cls].times.append(self.now)
+        self.asked[request.cls].append(self.now)
         if self.by_tenant:
-            self.by_tenant[request.tenant].times.append(self.now)
+            self.by_tenant[request.tenant].append(self.now)
             job.cells.append(self.n + request.tenant)
         (self._give_up if self._hopeless(job) else self._send)(job)
 
@@ -458,24 +460,21 @@
         leg = job.id, len(job.attempts)
         self.away[leg], server.open[leg] = Attempt(server, job.cls, self.now), self.now
         job.attempts.append(self.away[leg])
-        for window in (server.sent, self.sent):
-            window.times.append(self.now)
-        if self._cap(server.entry.build) is not None:
-            span = self.roll.window_ms + 2 * self.s.tick_ms
-            self.tries.setdefault((server.entry.build, job.cls), Window(span)).times.append(self.now)
+        job.weight = 1.0
+        for times in (server.sent, self.sent, self.tries.setdefault((server.entry.build, job.cls), [])):
+            times.append(self.now)
         self.out.append(it.Send(job.id, server.id, job.useful))
 
     def _outcome(self, event: it.Outcome) -> None:
-        if not (attempt := self.away.pop((event.request, event.attempt), None)):
+        if not (ran := self.away.pop((event.request, event.attempt), None)):
             return
-        attempt.live, attempt.unrun = False, event.status in UNRUN
-        attempt.server.open.pop((event.request, event.attempt), None)
-        self._learn(attempt, event.status, max(event.latency_ms, 1.0))
+        ran.live, ran.unrun = False, event.status in UNRUN
+        ran.server.open.pop((event.request, event.attempt), None)
+        self._learn(ran, event.status, max(event.latency_ms, 1.0))
         if not (job := self.jobs.get(event.request)):
             return
-        if event.status is it.Status.OK and self.roll.one_way and job.request.key:
-            self.answered[job.request.key] = max(
-                self.answered.get(job.request.key, 0), attempt.server.entry.build)
+        if event.status is it.Status.OK and self.roll.one_way and (key := job.request.key):
+            self.answered[key] = max(self.answered.get(key, 0), ran.server.entry.build)
         if event.over:
             late = self.s.classes[job.cls].late_worth if self.now > job.aim else 1.0
             self._over(job, late if event.status is it.Status.OK else 0.0)
@@ -488,8 +487,8 @@
 
     def _over(self, job: Job, gain: float) -> None:
         del self.jobs[job.id]
-        for cell in job.cells if job.attempts else ():
-            self.tried[cell] = self.tried[cell][0] + 1.0, self.tried[cell][1] + gain
+        for cell in job.cells:
+            self.tried[cell] = self.tried[cell][0] + job.weight, self.tried[cell][1] + gain
 
     def _give_up(self, job: Job) -> None:  # at once: a refusal where trying again does no harm
         cls, limits = self.s.classes[job.cls], self.s.limits
@@ -507,10 +506,10 @@
             return None
         return 0.0 if self.news.phase is it.Phase.WITHDRAWN else self.news.cap
 
-    def _exposed(self, build: int, cls: int) -> tuple[int, int]:  # attempts, requests in the window
-        classes = [cls] if self.roll.per_class else range(self.n)
-        tries = sum(self.tries[build, c].count(self.now) for c in classes if (build, c) in self.tries)
-        return tries, sum(self.asked[c].count(self.now) for c in classes)
+    def _exposed(self, build: int, cls: int, together: bool) -> tuple[int, int]:  # edges fall between ticks
+        span, tick, classes = self.roll.window_ms, self.s.tick_ms, range(self.n) if together else [cls]
+        tries = sum(recent(self.tries.get((build, c), []), self.now - span - 2 * tick) for c in classes)
+        return tries, sum(recent(self.asked[c], self.now - span + 4 * tick) for c in classes)
 
     def _age(self, server: Server) -> float:
         return self.now - server.entry.started_ms if server.entry.started_ms > 0 else math.inf
@@ -519,8 +518,7 @@
         start, warm = self.s.rules.start_capacity, max(self.s.rules.cold_ms, 1.0)
         return start + (1.0 - start) * min(1.0, max(0.0, self._age(server) - self.s.rules.fall_ms) / warm)
 
-    def may_send(self, job: Job, server: Server) -> bool:
-        """All five rules, for first sends, retries and copies alike."""
+    def may_send(self, job: Job, server: Server) -> bool:  # all five rules: first sends, retries, copies
         rules, limits, cls, entry = self.s.rules, self.s.limits, self.s.classes[job.cls], server.entry
         over = job.id not in self.jobs or self.now >= job.until or len(job.attempts) >= limits.max_attempts
         way_back = self.answered.get(job.request.key, 0) > entry.build  # filled only where there is none
@@ -538,11 +536,11 @@
         if (cap := self._cap(entry.build)) is not None:  # rule 5
             stage = self.news.stage if entry.build == self.news.build else 0
             guarded = stage < self.roll.guarded_stages and cls.effect is not it.Effect.SAFE
-            tries, asked = self._exposed(entry.build, job.cls)
+            tries, asked = self._exposed(entry.build, job.cls, not self.roll.per_class)
             if cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked:
                 return False
         if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, not what was asked
-            even = self.sent.count(self.now) / self.fleet
+            even = recent(self.sent, self.now - rules.fall_ms) / self.fleet
             budget = COLD_PART * rules.fall_multiple * self._able(server) * even
-            return server.sent.count(self.now) + 1 <= max(1.0, budget)
+            return recent(server.sent, self.now - rules.fall_ms) + 1 <= max(1.0, budget)
         return True
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -61,6 +61,7 @@
         max_attempts=4,
         max_open=1000,
         max_retry_after_ms=500.0,
+        keepalive_ms=15000.0,
     ),
     rules=it.RuleFigures(
         answer_slack_ms=20.0,
