Load reports rank the servers chosen; an agent that stood still books nothing

Cause: own open requests say nothing of a server that many agents share; reports in answers do, while they are fresh, so fewer servers are kept to where there are reports. What waited while an agent stood still tells nothing of servers. Guards also against any agent's clock that jumps; a report is never believed against slow answers, as both multiply.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -24,12 +24,12 @@
 JUDGES, NOTE_WORTH, TELL_MS, JUDGE_MORE = 5, 8.0, 2000.0, 0.1  # told by all; a note's; more trial for them
 FILL, FAIR, COLD_PART = 0.95, 1.3, 0.85  # most used of the cap, of an even trial share, of a cold budget
 DRAWN, CROSS, REFUSED_MS = 3, 1.3, 400.0  # servers drawn to choose from; crossing cost; come-back
-KEPT_LEAST, KEPT_GAPS, REFUSED_PART = 3, 2.0, 0.1  # servers kept: least; asks a keep-alive; connects refused
+KEPT_LEAST, KEPT_GAPS, REFUSED_PART, LOAD_MS = 3, 2.0, 0.1, 2000.0  # kept; asks a keep-alive; refused; stale
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.35, 0.6  # own open work a server may hold at first; parts of the aim:
 SHRINK, SHRINK_MS = 0.75, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 OVER_SHARE, LEAST_PART = 1.25, 0.5  # times its share a tenant is over it; part of a bound open to least worth
 TRY_LEAST, TRY_MOST, FADE, SHED = 1.2, 1.6, 0.9, 0.7  # tried over what brought worth; a bin; weight of shed
-DEAD_OK, HEAL = 0.4, 0.04  # health below which a server is avoided; health regained a bin, to try it again
+DEAD_OK, HEAL, STOOD_MS = 0.4, 0.04, 100.0  # health avoided; regained a bin; woken so late, we stood still
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
 
@@ -47,6 +47,7 @@
         self.key, self.linked = random.Random(me << 32 | entry.server).random(), -math.inf  # last answer
         self.open, self.ready = dict[tuple[int, int], float](), True  # own attempts out there: when sent
         self.ok, self.slow, self.limit, self.shrunk, self.seen, self.errors = 1.0, 1.0, OPEN_FIRST, 0.0, 0, 0
+        self.load, self.told = 0.0, -math.inf  # requests it held by its last report, and when that came
         self.bin: dict[int, list[float]] = {}  # by class this bin's latencies, nan for an error
         self.series: dict[int, deque[float]] = {}  # by metric, two a class: errors, latency
 
@@ -129,7 +130,9 @@
         self.tried = [(0.0, 0.0)] * (self.n + len(settings.tenants))  # by class, tenant: sent, brought worth
         self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
         self.usual, self.calm = [c.aim_ms / 4 for c in settings.classes], [0] * self.n  # how many it rests on
-        self.unwatched, self.refused = settings.discovery is it.Discovery.ASK, 0.0  # part of connects
+        fields, held = enumerate(settings.report_fields), (it.LoadField.INFLIGHT, it.LoadField.QUEUE)
+        self.gauge = next((i for i, f in fields if f in held and settings.reports_in_answers), None)
+        self.unwatched, self.refused, self.stood = settings.discovery is it.Discovery.ASK, 0.0, -math.inf
         self.next_bin, self.tell_at, self.settle, self.vote_at = 0.0, 0.0, 0.0, -math.inf
         self.news = it.StageNews(0, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, 0.0)
         self.baseline = [deque[float](maxlen=BASELINE_BINS * PAIRS_A_BIN) for _ in range(2 * self.n)]
@@ -149,7 +152,7 @@
         self.told: dict[int, tuple[float, int, float]] = {}  # class: when, answers, mean of the earlier build
 
     def handle(self, now: float, event: it.Event) -> list[it.Action]:  # passes over what is of no use
-        self.now, self.out = now, []
+        self.now, self.out, self.stood = now, [], now if now > self.next_bin + STOOD_MS else self.stood
         getattr(self, f"_{type(event).__name__.lower()}", lambda _: None)(event)
         return self.out
 
@@ -164,12 +167,9 @@
     _started = _timerfired
 
     def _serverlist(self, news: it.ServerList) -> None:
-        if news.kind is it.ListKind.FAILED:
-            self.unwatched = True
-            return
-        named = {e.server for e in news.entries}
+        whole, self.unwatched = {e.server for e in news.entries}, news.kind is it.ListKind.FAILED
         for server in self.servers.values():
-            server.ready = server.ready and (news.kind is it.ListKind.DELTA or server.id in named)
+            server.ready &= news.kind in (it.ListKind.DELTA, it.ListKind.FAILED) or server.id in whole
         for entry in news.entries:
             known = self.servers.get(entry.server)
             # a restart, or another build under a known id: what we knew of it is void and it is cold
@@ -206,7 +206,7 @@
     def _learn(self, attempt: Attempt, status: it.Status, latency: float) -> None:
         server, cls, good = attempt.server, attempt.cls, status is it.Status.OK
         aim, build = self.s.classes[cls].aim_ms, server.entry.build
-        if status in (it.Status.CANCELLED, it.Status.MOOT):
+        if status in (it.Status.CANCELLED, it.Status.MOOT) or self.now == self.stood:
             return
         server.ok += (good - server.ok) * (0.5 if status in UNRUN else 0.2)
         if good and latency < QUICK * aim:
@@ -383,7 +383,8 @@
     def _cost(self, server: Server) -> float:  # own open work, seen slowness, failures, a stall, the crossing
         stall = 1.0 + (self.now - next(iter(server.open.values()), self.now)) / (2 * max(self.usual))
         cross = CROSS if server.entry.zone != self.s.zone and self.s.cross_zone_price else 1.0
-        return (len(server.open) + 1) * max(server.slow, 0.2) * stall * cross / max(server.ok, 0.1) ** 2
+        held = max(len(server.open), server.load * math.exp((server.told - self.now) / LOAD_MS))
+        return (held + 1) * max(server.slow, 0.2) * stall * cross / max(server.ok, 0.1) ** 2
 
     def _rank(self) -> None:  # each bin and after news: who is on trial and who not, the trial's even share
         ready = sorted((s for s in self.servers.values() if s.ready), key=lambda s: s.key)
@@ -420,20 +421,18 @@
 
     def _kept(self, group: list[Server]) -> list[Server]:  # few, so that open connections serve again
         keep = self.s.limits.keepalive_ms
-        many = self._exposed(0, 0, True)[1] / self.roll.window_ms * keep / KEPT_GAPS
-        few = group[:max(KEPT_LEAST, math.ceil(many * len(group) / self.fleet))]
-        linked = [s for s in group if self.now - s.linked < keep] if self.refused > REFUSED_PART else []
-        return linked or few
+        if self.refused > REFUSED_PART and (linked := [s for s in group if self.now - s.linked < keep]):
+            return linked
+        span = min(keep / KEPT_GAPS, math.inf if self.gauge is None else LOAD_MS) * len(group) / self.fleet
+        return group[:max(KEPT_LEAST, math.ceil(self._exposed(0, 0, True)[1] * span / self.roll.window_ms))]
 
-    def _fill(self, job: Job) -> bool:  # DESIGN: trial first sends fill the cap; ours: up to an even share
+    def _fill(self, job: Job) -> bool:  # DESIGN: fill the cap; ours: up to an even share, by chance, no burst
         tries, asked = self._exposed(self.new, job.cls, not self.roll.per_class)
         room = FILL * (self.roll.free + (self._cap(self.new) or 0.0) * asked)
-        # by chance: a window filled in one go is a burst that a cold server queues for seconds
         return not self.tripped and tries < room and self.rng.random() < min(room / max(asked, 1), self.even)
 
-    def _worth(self, job: Job) -> float:  # for its work, over the best class's: the least is refused first
+    def _worth(self, job: Job) -> float:  # for its work; a tenant's by its part here, as agents may be down
         worth = [c.worth * (self.s.worth_by_work or 1 / self.usual[i]) for i, c in enumerate(self.s.classes)]
-        # a tenant by its part of what comes here: a rate wrongs all once other agents are down
         sent, tenant = [recent(times, self.now - 1e3) for times in self.by_tenant], job.request.tenant
         over = sent and sent[tenant] > OVER_SHARE * self.s.tenants[tenant].share * sum(sent)
         return worth[job.cls] / max(*worth, 1e-9) * (self.s.over_share_worth if over else 1.0)
@@ -458,9 +457,8 @@
         if not (server := self._choose(job) if self.now < job.useful else None):
             return self._give_up(job)
         leg = job.id, len(job.attempts)
-        self.away[leg], server.open[leg] = Attempt(server, job.cls, self.now), self.now
+        self.away[leg], server.open[leg], job.weight = Attempt(server, job.cls, self.now), self.now, 1.0
         job.attempts.append(self.away[leg])
-        job.weight = 1.0
         for times in (server.sent, self.sent, self.tries.setdefault((server.entry.build, job.cls), [])):
             times.append(self.now)
         self.out.append(it.Send(job.id, server.id, job.useful))
@@ -471,6 +469,8 @@
         ran.live, ran.unrun = False, event.status in UNRUN
         ran.server.open.pop((event.request, event.attempt), None)
         self._learn(ran, event.status, max(event.latency_ms, 1.0))
+        if event.load and self.gauge is not None:
+            ran.server.load, ran.server.told = float(event.load[self.gauge]), self.now
         if not (job := self.jobs.get(event.request)):
             return
         if event.status is it.Status.OK and self.roll.one_way and (key := job.request.key):
@@ -487,7 +487,7 @@
 
     def _over(self, job: Job, gain: float) -> None:
         del self.jobs[job.id]
-        for cell in job.cells:
+        for cell in job.cells if self.now != self.stood else ():
             self.tried[cell] = self.tried[cell][0] + job.weight, self.tried[cell][1] + gain
 
     def _give_up(self, job: Job) -> None:  # at once: a refusal where trying again does no harm
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -173,7 +173,7 @@
             bad = send.server == 20 and own > 0
             own -= bad
             drive.end(send, it.Status.ERROR if bad else it.Status.OK, over=True)
-        drive.now += 20.0
+        drive.tick(20.0)
     assert own <= 0
     drive.give(it.Tally(1, 0, 200, 0, 100.0, 500.0))
     drive.give(it.Tally(2, 0, 20, 12, 100.0, 500.0))
