--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -17,7 +17,7 @@
 PASS_MEAN, POINTS_LEAST, POINTS_MOST, POOL_BINS = 0.9, 4, 12, 40  # DESIGN: mean to go on; ours: points, bins
 POOLS = [(name, span) for name in ("own", "tally") for span in (POOL_BINS, DEEP)]
 ERROR_MARGIN, CHANCE, SURE = 0.025, 0.01, 0.001  # DESIGN's five points halved; laid to chance; sure if rarer
-CLASS_LEAST, LEARN, SIGMAS, SPREAD, MACHINES = 3, 0.03, 2.3, 0.6, 3  # outcomes; rate; sure; machines hit
+CLASS_LEAST, LEARN, SIGMAS, SPREAD, MACHINES = 2, 0.03, 2.3, 0.6, 3  # outcomes; rate; sure; machines hit
 LEVEL_LEAST, LEVEL_BACK, NOISE, SERVER_NOISE = 20, math.log(1.8), 0.5, 0.08  # latencies; slower; variances
 WORSE, WORSE_BINS, JAM = math.log(1.4), 14, 0.2  # all slower by this: no step on, so long: back; part lost
 SEEN_PART, SETTLE_MS = 0.7, 20000.0  # a stage's servers seen before a step; restarted agents wait
@@ -28,7 +28,7 @@
 OPEN_FIRST, QUICK, TARDY = 6.0, 0.35, 0.6  # own open work a server may hold at first; parts of the aim:
 SHRINK, SHRINK_MS = 0.75, 100.0  # quicker answers add to it, tardier ones take away, so often at most
 OVER_SHARE, LEAST_PART = 1.25, 0.5  # times its share a tenant is over it; part of a bound open to least worth
-TRY_LEAST, TRY_MOST, FADE, SHED = 1.2, 1.6, 0.9, 0.7  # tried over what brought worth; a bin; weight of shed
+TRY_LEAST, TRY_MOST, FADE, SHED = 1.1, 1.4, 0.9, 0.7  # tried over what brought worth; a bin; weight of shed
 DEAD_OK, HEAL, STOOD_MS = 0.4, 0.04, 100.0  # health avoided; regained a bin; woken so late, we stood still
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
@@ -352,10 +352,10 @@
                         1.5, (usual + ERROR_MARGIN) * n) and tail(max(n, x), x, usual + CHANCE) < SURE / many:
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
             if self.news.phase is it.Phase.TRIAL and trial and earlier and min(n1, n0) >= LEVEL_LEAST:
-                m1, m0 = s1 / n1, max(s0 / n0, 0.0)  # idle earlier servers are quicker than usual
+                m1, m0 = s1 / n1, 2 * max(s0 / n0, 0.0)  # idle ones are no measure
                 noise = math.sqrt(NOISE / n1 + NOISE / n0 + SERVER_NOISE / len(trial))
                 if m1 - m0 - math.sqrt(SIGMAS ** 2 + 2 * math.log(many)) * noise > LEVEL_BACK:
-                    return f"level {name}: {math.exp(m1 - m0):.2f} times the earlier, {n1:.0f} to {n0:.0f}"
+                    return f"level {name}: {math.exp(m1 - s0 / n0):.2f} times earlier, {n1:.0f} to {n0:.0f}"
         # ours: not while the earlier build is late too or leaves, nor on an old value that empty bins repeat
         late = [c for c, cls in enumerate(self.s.classes if own >= 2 * self.n else ())
                 if self._middle(trial, c) > cls.aim_ms >= self._middle(earlier, c) > 0]
