--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -335,8 +335,8 @@
         mates = [s for s in self.servers.values() if s.entry.build == self.news.build]
         known, total = [s.errors for s in mates if s.seen] or [0], self._totals("own", POOL_BINS)[0][-1][1]
         hit = sum(x > 0 for x in known)  # failing machines are no failing build, which would hit most alike
-        alike = hit >= max(2, SPREAD * len(known) * (1 - (1 - 1 / len(known)) ** sum(known)))
-        self.shared = len(mates) == 1 or 2 * sum(known) < total or alike  # what peers saw, was elsewhere
+        most = hit >= max(2, SPREAD * len(known) * (1 - (1 - 1 / len(known)) ** sum(known)))
+        self.shared = len(mates) == 1 or 2 * sum(known) < total or most  # what peers saw, was elsewhere
         for name, span in self.pools:
             rows, (n1, s1, n0, s0) = self._totals(name, span)
             # of many that judge on evidence of their own, one errs by chance
@@ -347,8 +347,8 @@
                 usual = max(self.before.get((name, some, cls), CHANCE) for some in (POOL_BINS, DEEP))
                 odd = tail(rows[-1][1], x, n / max(rows[-1][0], n, 1))  # by chance on one class of all alike
                 # while machines of the earlier build fail too, errors of all classes alike may be machines'
-                surely = (odd < CHANCE or (alike and hit >= MACHINES)) and x > MACHINES * usual * n
-                if total > 1.5 and (surely or (self.shared and usual <= CHANCE)) and x > max(
+                sure = many == 1 and x > MACHINES * usual * n and (odd < CHANCE or (most and hit >= MACHINES))
+                if total > 1.5 and (sure or (self.shared and usual <= CHANCE)) and x > max(
                         1.5, (usual + ERROR_MARGIN) * n) and tail(max(n, x), x, usual + CHANCE) < SURE / many:
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
             if self.news.phase is it.Phase.TRIAL and trial and earlier and min(n1, n0) >= LEVEL_LEAST:
