--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -70,7 +70,7 @@
 
 class Job:  # a request we owe an answer
     def __init__(self, request: it.Request, now: float, cls: it.RequestClass) -> None:
-        self.request, self.id, self.cls = request, request.request, request.cls
+        self.request, self.id, self.cls, self.began = request, request.request, request.cls, now
         aim = cls.aim_ms + cls.aim_stretch * (request.work_hint_ms if request.hinted else 0.0)
         useful = min(request.budget_ms, cls.deadline_ms if cls.late_worth > 0 else aim)  # then free it
         self.until, self.useful = now + request.budget_ms, now + useful
@@ -323,12 +323,12 @@
         pools = [self._totals(name, POOL_BINS) for name in ("own", "tally")]
         places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
         unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
-        jam = max(gain / (tried + 0.01) for tried, gain in self.tried[:self.n]) < 1 - JAM or min(
-            old_x / max(old_n, 1) for _, _, old_n, old_x in pools[1][0]) > JAM
+        works = [c for c, (n, got) in enumerate(self.tried[:self.n]) if got >= (1 - 2 * JAM) * n]
+        jam = not works or min(old_x / max(old_n, 1) for _, _, old_n, old_x in pools[1][0]) > JAM
         failing = self.shared and any(x > max(1.5, 2 * ERROR_MARGIN * n, 2 * old_x / max(old_n, 1) * n)
                                       for rows, _ in pools for n, x, old_n, old_x in rows)
-        seen = any(rows[-1][0] >= OUTCOMES_LEAST and min(rows)[0] >= CLASS_LEAST * (1 + self.news.stage)
-                   for rows, _ in pools)
+        least = CLASS_LEAST * (1 + self.news.stage)  # of a class that is shed, none can come
+        seen = any(r[-1][0] >= OUTCOMES_LEAST and all(r[c][0] >= least for c in works) for r, _ in pools)
         return seen and not (unseen or jam or failing or self.worse_bins or self.now < self.settle)
 
     def _breaker(self, trial: list[Server], earlier: list[Server], own: float) -> str:  # DESIGN, but surer
@@ -476,8 +476,9 @@
         if event.status is it.Status.OK and self.roll.one_way and (key := job.request.key):
             self.answered[key] = max(self.answered.get(key, 0), ran.server.entry.build)
         if event.over:
-            late = self.s.classes[job.cls].late_worth if self.now > job.aim else 1.0
-            self._over(job, late if event.status is it.Status.OK else 0.0)
+            part = (self.now - job.began) / (job.aim - job.began)  # tardy answers warn before they are late
+            worth = self.s.classes[job.cls].late_worth if part > 1 else min(1.0, 1 + TARDY - part)
+            self._over(job, worth if event.status is it.Status.OK else 0.0)
         elif not any(a.live for a in job.attempts):
             (self._give_up if self._hopeless(job) else self._send)(job)
 
