--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -70,7 +70,7 @@
 
 class Job:  # a request we owe an answer
     def __init__(self, request: it.Request, now: float, cls: it.RequestClass) -> None:
-        self.request, self.id, self.cls, self.began = request, request.request, request.cls, now
+        self.request, self.id, self.cls = request, request.request, request.cls
         aim = cls.aim_ms + cls.aim_stretch * (request.work_hint_ms if request.hinted else 0.0)
         useful = min(request.budget_ms, cls.deadline_ms if cls.late_worth > 0 else aim)  # then free it
         self.until, self.useful = now + request.budget_ms, now + useful
@@ -476,8 +476,7 @@
         if event.status is it.Status.OK and self.roll.one_way and (key := job.request.key):
             self.answered[key] = max(self.answered.get(key, 0), ran.server.entry.build)
         if event.over:
-            part = (self.now - job.began) / (job.aim - job.began)  # tardy answers warn before they are late
-            worth = self.s.classes[job.cls].late_worth if part > 1 else min(1.0, 1 + TARDY - part)
+            worth = self.s.classes[job.cls].late_worth if self.now > job.aim else 1.0
             self._over(job, worth if event.status is it.Status.OK else 0.0)
         elif not any(a.live for a in job.attempts):
             (self._give_up if self._hopeless(job) else self._send)(job)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -254,3 +254,16 @@
             load = (0.5, 9.0 if send.server == 1 else 1.0)
             drive.give(it.Outcome(send.request, send.server, 0, it.Status.OK, 100.0, True, load))
     assert used[2] > 1.5 * used[1] > 0
+
+
+def test_a_class_that_is_shed_does_not_hold_the_step_of_a_build() -> None:
+    """None of its outcomes can come: the classes that are served must do."""
+    drive = offered()
+    drive.agent.tried[2] = (50.0, 1.0)
+    row = drive.agent.none[:]
+    row[0:2], row[4:6] = [30.0, 0.0], [20.0, 0.0]  # trial outcomes of the classes 0 and 1, none of class 2
+    drive.agent.pools["own", 40] = row
+    trial, earlier = ([s for s in drive.agent.servers.values() if s.entry.build == b] for b in (2, 1))
+    assert drive.agent._enough(trial, earlier)
+    drive.agent.tried[2] = (50.0, 49.0)
+    assert not drive.agent._enough(trial, earlier)
