Level noise by warm trial servers only; a fifth lost of every class is a jam

Cause of the first: levels leave out cold servers, so the machine-to-machine noise must too; two warm machines were taken for six.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -323,7 +323,7 @@
         pools = [self._totals(name, POOL_BINS) for name in ("own", "tally")]
         places = len(earlier) + len(trial) * (self.roll.replacement is it.Replacement.IN_PLACE)
         unseen = len(trial) < SEEN_PART * self.roll.stage_share[self.news.stage] * places
-        works = [c for c, (n, got) in enumerate(self.tried[:self.n]) if got >= (1 - 2 * JAM) * n]
+        works = [c for c, (n, got) in enumerate(self.tried[:self.n]) if got >= (1 - JAM) * n]
         jam = not works or min(old_x / max(old_n, 1) for _, _, old_n, old_x in pools[1][0]) > JAM
         failing = self.shared and any(x > max(1.5, 2 * ERROR_MARGIN * n, 2 * old_x / max(old_n, 1) * n)
                                       for rows, _ in pools for n, x, old_n, old_x in rows)
@@ -353,10 +353,10 @@
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
             if self.news.phase is it.Phase.TRIAL and trial and earlier and min(n1, n0) >= LEVEL_LEAST:
                 m1, m0 = s1 / n1, 2 * max(s0 / n0, 0.0)  # idle ones are no measure
-                noise = math.sqrt(NOISE / n1 + NOISE / n0 + SERVER_NOISE / len(trial))
+                warm = sum(self._age(s) > self.s.rules.cold_ms + 2 * BIN_MS for s in trial)
+                noise = math.sqrt(NOISE / n1 + NOISE / n0 + SERVER_NOISE / max(warm, 1))
                 if m1 - m0 - math.sqrt(SIGMAS ** 2 + 2 * math.log(many)) * noise > LEVEL_BACK:
                     return f"level {name}: {math.exp(m1 - s0 / n0):.2f} times earlier, {n1:.0f} to {n0:.0f}"
-        # ours: not while the earlier build is late too or leaves, nor on an old value that empty bins repeat
         late = [c for c, cls in enumerate(self.s.classes if own >= 2 * self.n else ())
                 if self._middle(trial, c) > cls.aim_ms >= self._middle(earlier, c) > 0]
         self.late_bins = self.late_bins + 1 if late and self.news.phase is it.Phase.TRIAL else 0
