Judges seek classes not yet seen on the trial; later steps wait for warm latencies

In place of the larger trial share of judges. Could harm by a burst of one class at cold trial servers, within their budget.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -21,7 +21,7 @@
 LEVEL_LEAST, LEVEL_BACK, NOISE, SERVER_NOISE = 20, math.log(1.8), 0.5, 0.08  # latencies; slower; variances
 WORSE, WORSE_BINS, JAM = math.log(1.4), 14, 0.2  # all slower by this: no step on, so long: back; part lost
 SEEN_PART, SETTLE_MS = 0.7, 20000.0  # a stage's servers seen before a step; restarted agents wait
-JUDGES, NOTE_WORTH, TELL_MS, JUDGE_MORE = 5, 8.0, 2000.0, 0.1  # told by all; a note's; more trial for them
+JUDGES, NOTE_WORTH, TELL_MS = 5, 8.0, 2000.0  # agents that all others tell; outcomes, time a note waits for
 FILL, FAIR, COLD_PART = 0.95, 1.3, 0.85  # most used of the cap, of an even trial share, of a cold budget
 DRAWN, CROSS, REFUSED_MS = 3, 1.3, 400.0  # servers drawn to choose from; crossing cost; come-back
 KEPT_LEAST, KEPT_GAPS, REFUSED_PART, LOAD_MS = 3, 2.0, 0.1, 2000.0  # kept; asks a keep-alive; refused; stale
@@ -244,8 +244,7 @@
         cold, n = self.s.rules.cold_ms + self.roll.tally_ms + event.age_ms, min(good, old)
         warm = all(self._age(s) > cold for s in self.servers.values() if s.ready)
         if event.build == self.news.build and warm and n > 0 and when - then < 1.5 * self.roll.tally_ms:
-            log = math.log(event.mean_ms / old_ms)
-            self._book(self.tallied, event.build, 4 * self.n, n, n * log, n, 0.0)
+            self._book(self.tallied, event.build, 4 * self.n, n, n * math.log(event.mean_ms / old_ms), n, 0.0)
 
     def _totals(self, name: str, span: int) -> tuple[list[list[float]], list[float]]:  # classes, all; levels
         sums = self.pools[name, span]
@@ -305,8 +304,7 @@
 
     # --- voting ---
     def _judge(self, scores: list[float], trial: list[Server], earlier: list[Server], own: float) -> None:
-        trip = self._breaker(trial, earlier, own)
-        self.tripped = self.tripped or trip
+        trip = self.tripped = self.tripped or self._breaker(trial, earlier, own)
         if scores or trip:  # DESIGN: a breaker zeroes the average
             self.points.append(0.0 if trip else fmean(scores))
         if self.tripped:
@@ -329,7 +327,8 @@
                                       for rows, _ in pools for n, x, old_n, old_x in rows)
         least = CLASS_LEAST * (1 + self.news.stage)  # of a class that is shed, none can come
         seen = any(r[-1][0] >= OUTCOMES_LEAST and all(r[c][0] >= least for c in works) for r, _ in pools)
-        return seen and not (unseen or jam or failing or self.worse_bins or self.now < self.settle)
+        blind = self.news.stage and pools[0][1][2] >= LEVEL_LEAST > pools[0][1][0]  # levels are due
+        return seen and not (unseen or blind or jam or failing or self.worse_bins or self.now < self.settle)
 
     def _breaker(self, trial: list[Server], earlier: list[Server], own: float) -> str:  # DESIGN, but surer
         mates = [s for s in self.servers.values() if s.entry.build == self.news.build]
@@ -397,8 +396,7 @@
         self.groups = [[[s for s in group if s.entry.zone == zone], group] for group in groups]
         old, new = (sum(s.entry.weight * self._able(s) * s.ok for s in group) for group in groups)
         places = old + new * (self.roll.replacement is it.Replacement.IN_PLACE)
-        more = 1 + JUDGE_MORE * (self.s.agents / len(self.judges) - 1) if self.s.me in self.judges else 1.0
-        self.even = FAIR * more * new / max(places, new, 1e-9)
+        self.even = FAIR * new / max(places, new, 1e-9)
 
     def _choose(self, job: Job) -> Server | None:
         if self.ranked != self.bins:
@@ -429,7 +427,9 @@
     def _fill(self, job: Job) -> bool:  # DESIGN: fill the cap; ours: up to an even share, by chance, no burst
         tries, asked = self._exposed(self.new, job.cls, not self.roll.per_class)
         room = FILL * (self.roll.free + (self._cap(self.new) or 0.0) * asked)
-        return not self.tripped and tries < room and self.rng.random() < min(room / max(asked, 1), self.even)
+        lacks = self.s.me in self.judges and self.pools["own", POOL_BINS][4 * job.cls] < CLASS_LEAST
+        part = min(room / max(asked, 1), 1.0 if lacks else self.even)  # judges seek what they have not seen
+        return not self.tripped and tries < room and self.rng.random() < part
 
     def _worth(self, job: Job) -> float:  # for its work; a tenant's by its part here, as agents may be down
         worth = [c.worth * (self.s.worth_by_work or 1 / self.usual[i]) for i, c in enumerate(self.s.classes)]
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -267,3 +267,35 @@
     assert drive.agent._enough(trial, earlier)
     drive.agent.tried[2] = (50.0, 49.0)
     assert not drive.agent._enough(trial, earlier)
+
+
+def test_judges_seek_a_class_that_the_trial_has_not_brought() -> None:
+    """A step once waited twenty seconds for outcomes of one class that chance had not sent there."""
+
+    def sent(got: float) -> int:
+        drive = Drive(settings(agents=2, limits={"peers": True}), servers=8)
+        drive.news(2, 0, it.Phase.TRIAL, 0.5)
+        drive.list(entry(20, build=2))
+        hits = 0
+        for _ in range(100):
+            drive.tick(50.0)
+            drive.agent.pools["own", 40] = [got if i % 4 == 0 else 0.0 for i in range(len(drive.agent.none))]
+            for send in sends(drive.ask()[1]):
+                hits += send.server == 20
+                drive.end(send)
+        return hits
+
+    assert sent(0.0) > 2 * sent(9.0) > 0
+
+
+def test_later_steps_wait_for_warm_latencies_of_the_trial() -> None:
+    drive = offered(stage=1, cap=0.5, trials=6)
+    row = drive.agent.none[:]
+    for cls in range(3):
+        row[4 * cls:4 * cls + 4] = [30.0, 0.0, 90.0, 0.0]
+    row[-4:] = [5.0, 0.0, 90.0, 0.0]  # five warm latencies of the trial, ninety of the earlier build
+    trial, earlier = ([s for s in drive.agent.servers.values() if s.entry.build == b] for b in (2, 1))
+    drive.agent.pools["own", 40] = row
+    assert not drive.agent._enough(trial, earlier)
+    row[-4] = 25.0
+    assert drive.agent._enough(trial, earlier)
