--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -539,8 +539,8 @@
             tries, asked = self._exposed(entry.build, job.cls, not self.roll.per_class)
             if cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked:
                 return False
-        if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, not what was asked; a part of
-            even = (recent(self.sent, self.now - rules.fall_ms) + 1) / self.fleet  # an attempt is rounded by chance
-            budget = COLD_PART * rules.fall_multiple * self._able(server) * even  # (the key): any number of agents
-            return recent(server.sent, self.now - rules.fall_ms) + server.key <= budget
+        if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, not what was asked
+            even = recent(self.sent, self.now - rules.fall_ms) / self.fleet
+            budget = COLD_PART * rules.fall_multiple * self._able(server) * even
+            return recent(server.sent, self.now - rules.fall_ms) + 1 <= max(1.0, budget)
         return True
