--- a/otterquay/__init__.py
+++ b/otterquay/__init__.py
@@ -1,1 +1,1 @@
-"""otterquay: routes requests while server software is replaced, and votes on each new build."""
+"""otterquay: a release controller and the router that moves traffic from one build to another."""
--- /dev/null
+++ b/otterquay/agent/back.py
@@ -0,0 +1,214 @@
+"""The side towards the appliances: keep-alive connections, attempts on them, probes. It decides nothing: what is
+sent where and until when comes from the caller, how it ended goes back as a row of `outcomes.TABLE`."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from otterquay.agent.outcomes import End, end_of_answer
+from otterquay.config.units import split_address
+from otterquay.logs import Logger
+from otterquay.protocol.http import HttpResponse, ProtocolError, ResponseParser, write_request
+
+ECHO = b"otterquay-attempt"
+READ_SIZE = 65536
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One exchange with an appliance; `done` is called exactly once, with how it ended and the answer, if any."""
+
+    address: str
+    tag: bytes
+    payload: bytes
+    done: Callable[[Call, End, HttpResponse | None], None]
+    started: float
+    connection: Connection | None = None
+    timer: asyncio.TimerHandle | None = None
+    task: asyncio.Task[None] | None = None
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """A connection to an appliance, which carries one call at a time."""
+
+    address: str
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    parser: ResponseParser
+    idle_since: float
+    call: Call | None = None
+    task: asyncio.Task[None] | None = None
+    closed: bool = False
+
+
+@dataclass(slots=True)
+class Pool:
+    """All connections of one agent. Times are seconds of the loop's clock."""
+
+    connect_timeout_s: float
+    keepalive_s: float
+    max_head: int
+    max_answer: int
+    log: Logger
+    idle: dict[str, list[Connection]] = field(default_factory=dict)
+    open: set[Connection] = field(default_factory=set)
+    connecting: set[asyncio.Task[None]] = field(default_factory=set)
+    opened: int = 0
+    _sweeper: asyncio.TimerHandle | None = None
+
+    def call(
+        self, address: str, tag: bytes, payload: bytes, until: float,
+        done: Callable[[Call, End, HttpResponse | None], None],
+    ) -> Call:
+        """Start an exchange that is given up at `until`; `done` never runs before this returns."""
+        loop = asyncio.get_running_loop()
+        call = Call(address, tag, payload, done, loop.time())
+        call.timer = loop.call_at(until, self._overdue, call)
+        free = self.idle.get(address)
+        while free:
+            connection = free.pop()
+            if not connection.closed and not connection.reader.at_eof():
+                self._write(connection, call)
+                return call
+        call.task = loop.create_task(self._connect(call))
+        self.connecting.add(call.task)
+        call.task.add_done_callback(self.connecting.discard)
+        return call
+
+    def cancel(self, call: Call) -> None:
+        """Stop waiting; the connection closes, which tells the appliance."""
+        self._end(call, End.CALLED_OFF if call.connection else End.CALLED_OFF_CONNECTING)
+
+    def close_idle(self, address: str) -> None:
+        """Close the idle connections to one appliance."""
+        for connection in self.idle.pop(address, []):
+            self._close(connection)
+
+    def close(self) -> None:
+        """Close everything; calls that are out end as closed or not connected."""
+        if self._sweeper:
+            self._sweeper.cancel()
+        for connection in list(self.open):
+            if connection.call:
+                self._end(connection.call, End.CLOSED)
+            self._close(connection)
+        for task in list(self.connecting):
+            task.cancel()
+        self.idle.clear()
+
+    def _overdue(self, call: Call) -> None:
+        self._end(call, End.OVERDUE if call.connection else End.OVERDUE_CONNECTING)
+
+    def _end(self, call: Call, end: End, answer: HttpResponse | None = None) -> None:
+        if call.over:
+            return
+        call.over = True
+        if call.timer:
+            call.timer.cancel()
+        connection, call.connection = call.connection, None
+        if connection:
+            connection.call = None
+            if answer and answer.keep_alive and not connection.closed:
+                connection.idle_since = asyncio.get_running_loop().time()
+                self.idle.setdefault(call.address, []).append(connection)
+                self._sweep_later()
+            else:
+                self._close(connection)
+        elif call.task:
+            call.task.cancel()
+        call.done(call, end, answer)
+
+    async def _connect(self, call: Call) -> None:
+        host, port = split_address(call.address)
+        try:
+            async with asyncio.timeout(self.connect_timeout_s):
+                reader, writer = await asyncio.open_connection(host, port)
+        except (OSError, TimeoutError) as error:
+            call.task = None  # ends by itself
+            self.log.info("connect_failed", address=call.address, error=str(error) or type(error).__name__)
+            return self._end(call, End.NO_CONNECTION)
+        connection = Connection(
+            call.address, reader, writer, ResponseParser(self.max_head, self.max_answer), 0.0
+        )
+        self.open.add(connection)
+        self.opened += 1
+        connection.task = asyncio.get_running_loop().create_task(self._read(connection))
+        if call.over:  # called off in the turn in which the connection came up
+            self._close(connection)
+        else:
+            self._write(connection, call)
+
+    def _write(self, connection: Connection, call: Call) -> None:
+        connection.call, call.connection = call, connection
+        connection.writer.write(call.payload)
+
+    async def _read(self, connection: Connection) -> None:
+        reader, parser = connection.reader, connection.parser
+        answer: HttpResponse | None
+        try:
+            while not connection.closed:
+                data = await reader.read(READ_SIZE)
+                answers = parser.feed(data) if data else []
+                if not data:
+                    if (call := connection.call) and (answer := parser.eof()):
+                        self._answered(connection, call, answer)
+                    break
+                for answer in answers:
+                    if (call := connection.call) is None:
+                        raise ProtocolError(502, "an answer that nobody asked for")
+                    self._answered(connection, call, answer)
+                if answers and connection.call is None and parser.started:
+                    raise ProtocolError(502, "bytes after the answer")
+        except ProtocolError as error:
+            self.log.warning("garbage_from_appliance", address=connection.address, error=error.reason)
+            if connection.call:
+                self._end(connection.call, End.GARBAGE)
+        except OSError:
+            pass  # a reset: what it means for a call that is out is told below
+        finally:
+            if connection.call:
+                self._end(connection.call, End.CLOSED)
+            self._close(connection)
+
+    def _answered(self, connection: Connection, call: Call, answer: HttpResponse) -> None:
+        if answer.headers.get(ECHO, call.tag) != call.tag:
+            self.log.warning("answer_out_of_step", address=call.address, expected=call.tag.decode())
+            return self._end(call, End.MISMATCH)
+        self._end(call, end_of_answer(answer.status, answer.headers), answer)
+
+    def _close(self, connection: Connection) -> None:
+        if connection.closed:
+            return
+        connection.closed = True
+        self.open.discard(connection)
+        free = self.idle.get(connection.address)
+        if free and connection in free:
+            free.remove(connection)
+        connection.writer.close()
+        if connection.task and connection.task is not asyncio.current_task():
+            connection.task.cancel()
+
+    def _sweep_later(self) -> None:
+        if self._sweeper is None:
+            loop = asyncio.get_running_loop()
+            self._sweeper = loop.call_later(max(self.keepalive_s / 4, 0.05), self._sweep)
+
+    def _sweep(self) -> None:
+        self._sweeper = None
+        now = asyncio.get_running_loop().time()
+        for address, free in list(self.idle.items()):
+            for connection in [c for c in free if now - c.idle_since >= self.keepalive_s]:
+                self._close(connection)
+            if not free:
+                del self.idle[address]
+        if self.idle:
+            self._sweep_later()
+
+
+def probe_payload(address: str, tag: bytes) -> bytes:
+    """A probe: an ordinary GET that an appliance answers beside its queue, with its load report."""
+    return write_request(b"GET", b"/otterquay/probe", [(b"host", address.encode()), (ECHO, tag)])
--- /dev/null
+++ b/otterquay/agent/front.py
@@ -0,0 +1,250 @@
+"""The side towards clients: an HTTP/1.1 listener that hands whole requests on and writes their final answers.
+
+It answers by itself only what never becomes a request: malformed or oversized input, unknown names, more than
+its bounds. Everything else gets exactly one answer, from the module.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from otterquay.config.schema import Service
+from otterquay.logs import Logger
+from otterquay.protocol.http import HttpRequest, ProtocolError, RequestParser, write_response
+
+CLASS, TENANT, KEY = b"otterquay-class", b"otterquay-tenant", b"idempotency-key"
+BUDGET, WORK, RETRY = b"otterquay-budget-ms", b"otterquay-work-ms", b"otterquay-retry"
+ANSWER, RETRY_AFTER = b"otterquay-answer", b"otterquay-retry-after-ms"
+READ_SIZE = 65536
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A client's request, checked: what the module is told of it, and what goes on to the appliance."""
+
+    http: HttpRequest
+    cls: int
+    tenant: int
+    key: bytes
+    budget_ms: float
+    work_ms: float | None
+    retry: bool
+
+
+class Taker(Protocol):
+    """Who takes requests: sets the client's number, by which it may be abandoned; False when it takes none."""
+
+    def take(self, ask: Ask, client: Client) -> bool: ...
+
+    def abandon(self, number: int) -> None: ...
+
+
+def _number(headers: dict[bytes, bytes], name: bytes) -> float | None:
+    text = headers.get(name)
+    if text is None:
+        return None
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not 0 <= value < 1e9:
+        raise ProtocolError(400, f"{name.decode()}: a number of milliseconds is wanted")
+    return value
+
+
+@dataclass(slots=True)
+class Reader:
+    """Turns HTTP requests into asks by the names that the settings give."""
+
+    classes: dict[bytes, int]
+    tenants: dict[bytes, int]
+    deadlines: list[float]
+
+    @staticmethod
+    def of(service: Service) -> Reader:
+        return Reader(
+            {name.encode(): i for i, name in enumerate(service.class_)},
+            {name.encode(): i for i, name in enumerate(service.tenant)},
+            [c.deadline for c in service.class_.values()],
+        )
+
+    def read(self, http: HttpRequest) -> Ask:
+        """The ask in a request; ProtocolError names the header at fault and what it may be."""
+        headers = http.headers
+        cls = self.classes.get(headers.get(CLASS, b""))
+        if cls is None:
+            raise ProtocolError(400, f"otterquay-class: one of {b', '.join(self.classes).decode()}")
+        tenant = self.tenants.get(headers.get(TENANT, b""), None if self.tenants else 0)
+        if tenant is None:
+            raise ProtocolError(400, f"otterquay-tenant: one of {b', '.join(self.tenants).decode()}")
+        budget = _number(headers, BUDGET)
+        budget = self.deadlines[cls] if budget is None else min(budget, self.deadlines[cls])
+        key = headers.get(KEY, b"")
+        if len(key) > 255:
+            raise ProtocolError(400, "idempotency-key: at most 255 bytes")
+        return Ask(http, cls, tenant, key, budget, _number(headers, WORK), headers.get(RETRY) == b"1")
+
+
+def plain(status: int, text: str, keep_alive: bool, *extra: tuple[bytes, bytes]) -> bytes:
+    """An answer of ours with one line of text."""
+    return write_response(status, [(b"content-type", b"text/plain; charset=utf-8"), *extra],
+                          text.encode() + b"\n", keep_alive)
+
+
+def refusal(text: str, keep_alive: bool, retry_after_ms: float = 1000.0) -> bytes:
+    """503: not taken, and repeating is harmless (RFC 9110 section 10.2.3 counts in whole seconds)."""
+    return plain(503, text, keep_alive, (ANSWER, b"refused"),
+                 (b"retry-after", b"%d" % math.ceil(retry_after_ms / 1e3)),
+                 (RETRY_AFTER, b"%d" % retry_after_ms))
+
+
+@dataclass(slots=True, eq=False)
+class Client:
+    """One client connection; requests on it are taken one at a time, in order. Times are seconds."""
+
+    writer: asyncio.StreamWriter
+    waiting: deque[HttpRequest] = field(default_factory=deque)
+    number: int | None = None
+    keep_alive: bool = True
+    idle_since: float = 0.0
+    head_since: float | None = None
+    stuck_since: float | None = None
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def answer(self, data: bytes) -> None:
+        """Write the final answer to the request that is out."""
+        self.number = None
+        self.writer.write(data)
+        if not self.keep_alive:
+            self.waiting.clear()
+            self.writer.close()
+        self.wake.set()
+
+
+@dataclass(slots=True)
+class Front:
+    """The listener."""
+
+    service: Service
+    taker: Taker
+    log: Logger
+    clients: set[Client] = field(default_factory=set)
+    stopping: bool = False
+    _server: asyncio.Server | None = None
+    _sweeper: asyncio.TimerHandle | None = None
+    _reader: Reader = field(init=False)
+
+    def __post_init__(self) -> None:
+        self._reader = Reader.of(self.service)
+
+    async def start(self, host: str, port: int) -> tuple[str, int]:
+        """Listen; returns host and port bound. OSError when the address cannot be had."""
+        self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
+        name = self._server.sockets[0].getsockname()
+        self._sweep()
+        return str(name[0]), int(name[1])
+
+    def stop_listening(self) -> None:
+        """Take no new connection; those that are idle close, others after their answer."""
+        self.stopping = True
+        if self._server:
+            self._server.close()
+        for client in list(self.clients):
+            if client.number is None and not client.waiting:
+                client.writer.close()
+
+    def close(self) -> None:
+        """Close all that is still open."""
+        self.stop_listening()
+        if self._sweeper:
+            self._sweeper.cancel()
+        for client in list(self.clients):
+            client.writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        bounds = self.service.front
+        client = Client(writer, idle_since=asyncio.get_running_loop().time())
+        if len(self.clients) >= bounds.max_connections or self.stopping:
+            self.log.warning("connection_refused", open=len(self.clients), stopping=self.stopping)
+            client.keep_alive = False
+            return client.answer(refusal("no more connections here", False))
+        self.clients.add(client)
+        writer.transport.set_write_buffer_limits(high=bounds.max_body)
+        try:
+            await self._converse(reader, client)
+        except ProtocolError as error:
+            self.log.info("request_refused", status=error.status, reason=error.reason)
+            while client.number is not None:  # what stands before it here is still owed its answer
+                client.wake.clear()
+                await client.wake.wait()
+            client.keep_alive = False
+            client.answer(plain(error.status, error.reason, False))
+        except OSError as error:
+            self.log.info("client_lost", reason=str(error) or type(error).__name__)
+        finally:
+            self.clients.discard(client)
+            if client.number is not None:
+                number, client.number = client.number, None
+                self.taker.abandon(number)
+            writer.close()
+
+    async def _converse(self, reader: asyncio.StreamReader, client: Client) -> None:
+        bounds, loop = self.service.front, asyncio.get_running_loop()
+        parser = RequestParser(bounds.max_head, bounds.max_body)
+        while True:
+            if len(client.waiting) >= bounds.max_pipelined:
+                client.wake.clear()
+                await client.wake.wait()
+                continue
+            if client.writer.transport.get_write_buffer_size() > bounds.max_body:
+                await client.writer.drain()  # it asks, but does not read; the sweep ends that
+            data = await reader.read(READ_SIZE)
+            if not data:
+                return
+            client.idle_since = loop.time()
+            whole = parser.feed(data)
+            client.waiting.extend(whole)
+            if not parser.started:
+                client.head_since = None
+            elif whole or client.head_since is None:
+                client.head_since = client.idle_since
+            self.go_on(client)
+
+    def go_on(self, client: Client) -> None:
+        """Hand on what waits, while nothing is out."""
+        while client.waiting and client.number is None:
+            http = client.waiting.popleft()
+            client.keep_alive = http.keep_alive and not self.stopping
+            try:
+                ask = self._reader.read(http)
+            except ProtocolError as error:
+                self.log.info("request_refused", status=error.status, reason=error.reason)
+                client.answer(plain(error.status, error.reason, client.keep_alive))
+                continue
+            if self.stopping or not self.taker.take(ask, client):
+                client.answer(refusal("nothing more is taken", client.keep_alive))
+
+    def _sweep(self) -> None:
+        """End clients that idle, that never finish a request, or that never read. One timer for all."""
+        loop, bounds = asyncio.get_running_loop(), self.service.front
+        now = loop.time()
+        for client in list(self.clients):
+            unsent = client.writer.transport.get_write_buffer_size()
+            client.stuck_since = (client.stuck_since or now) if unsent else None
+            if client.stuck_since and now - client.stuck_since >= bounds.write_timeout / 1e3:
+                self.log.info("client_ended", reason="does not read", unsent=unsent)
+                client.writer.transport.abort()
+            elif client.number is not None or client.waiting:
+                continue
+            elif client.head_since and now - client.head_since >= bounds.head_timeout / 1e3:
+                self.log.info("client_ended", reason="half a request")
+                client.keep_alive = False
+                client.answer(plain(408, "the request did not come in time", False))
+            elif now - client.idle_since >= bounds.idle_timeout / 1e3:
+                client.writer.close()
+        least = min(bounds.head_timeout, bounds.idle_timeout, bounds.write_timeout) / 1e3
+        self._sweeper = loop.call_later(max(least / 4, 0.02), self._sweep)
--- /dev/null
+++ b/otterquay/agent/streams.py
@@ -0,0 +1,84 @@
+"""Following a stream of server-sent events: connects, resumes by the last id, comes back after a break."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import urlsplit
+
+from otterquay.logs import Logger
+from otterquay.protocol.http import ProtocolError, ResponseParser, write_request
+from otterquay.protocol.sse import SseError, SseEvent, SseParser
+
+
+class Restart(Exception):
+    """The consumer wants the stream from the beginning: forget the last id and connect anew."""
+
+
+@dataclass(slots=True)
+class Stream:
+    """One feed. Times are seconds; `event` gets each event, `broken` is told of each break with its reason."""
+
+    url: str
+    agent: int
+    event: Callable[[SseEvent], None]
+    broken: Callable[[str], None]
+    rng: random.Random
+    log: Logger
+    least_s: float
+    most_s: float
+    silence_s: float
+    max_event: int
+    last_id: str = ""
+    _came: bool = False
+
+    async def run(self) -> None:
+        """Follow until cancelled; waits longer after each failure in a row, at random below the bound."""
+        failures = 0
+        while True:
+            try:
+                await self._follow()
+                reason = "the stream ended"
+            except Restart as restart:
+                self.last_id, reason = "", str(restart)
+            except (OSError, TimeoutError, ProtocolError, SseError, ValueError) as error:
+                reason = str(error) or type(error).__name__
+            failures = 0 if self._came else failures + 1
+            self.log.warning("feed_broken", url=self.url, reason=reason, failures=failures)
+            self.broken(reason)
+            most = min(self.most_s, self.least_s * 2**min(failures, 16))
+            await asyncio.sleep(self.rng.uniform(self.least_s, max(most, self.least_s)))
+
+    async def _follow(self) -> None:
+        self._came = False
+        parts = urlsplit(self.url)
+        target = f"{parts.path or '/'}?agent={self.agent}".encode()
+        headers = [(b"host", parts.netloc.encode()), (b"accept", b"text/event-stream")]
+        if self.last_id:
+            headers.append((b"last-event-id", self.last_id.encode()))
+        async with asyncio.timeout(self.silence_s):
+            reader, writer = await asyncio.open_connection(parts.hostname, parts.port)
+        try:
+            writer.write(write_request(b"GET", target, headers))
+            events = SseParser(self.max_event)
+            events.last_id = self.last_id
+            content: list[bytes] = []
+            parser = ResponseParser(stream=content.append)
+            while True:
+                async with asyncio.timeout(self.silence_s):
+                    data = await reader.read(65536)
+                if not data:
+                    return
+                parser.feed(data)
+                if content and parser.status != 200:
+                    raise ProtocolError(502, f"answered {parser.status}")
+                pieces, content[:] = content[:], []
+                for piece in pieces:
+                    for event in events.feed(piece):
+                        self.last_id = event.id
+                        self._came = True
+                        self.event(event)
+        finally:
+            writer.close()
--- /dev/null
+++ b/otterquay/cli/lab.py
@@ -0,0 +1,119 @@
+"""`otterquay lab ...` and `otterquay demo`."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeElapsedColumn
+from rich.table import Table
+
+from otterquay.config import ConfigError
+from otterquay.lab.day import load_day
+from otterquay.lab.play import Result, inside, play, play_with_processes
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+
+def run_day(file: Path, seed: int, report: Path | None, one_process: bool, quiet: bool) -> Result:
+    """Play a day with progress on standard error; ConfigError when it cannot be read."""
+    day, service = load_day(file)
+    console = Console(stderr=True, quiet=quiet)
+    columns = (TextColumn("{task.description}"), BarColumn(), TimeElapsedColumn())
+    with Progress(*columns, console=console, transient=True) as progress:
+        task = progress.add_task("playing", total=day.duration / 1e3)
+
+        def say(text: str) -> None:
+            progress.console.print(f"[dim]{progress.tasks[task].elapsed or 0:5.1f} s[/dim]  {text}")
+
+        async def run() -> Result:
+            ticker = asyncio.create_task(_tick(progress, task))
+            try:
+                if one_process:
+                    return await play(day, service, seed, inside(service), say)
+                return await play_with_processes(day, service, file.parent / day.service, seed, report, say)
+            finally:
+                ticker.cancel()
+
+        return asyncio.run(run())
+
+
+async def _tick(progress: Progress, task: object) -> None:
+    while True:
+        await asyncio.sleep(0.25)
+        progress.update(task, advance=0.25)  # type: ignore[arg-type]
+
+
+def print_result(result: Result) -> None:
+    """A summary that a newcomer understands, on standard output."""
+    console, summary = Console(), result.summary()
+    console.print(f"\n[bold]{summary['operations']} operations[/bold], {summary['operations_served']} served "
+                  f"right; {summary['requests']} tries: "
+                  + ", ".join(f"{n} {kind}" for kind, n in summary["answers"].items()))
+    moves = Table("at", "build", "stage", "stands", "cap", title="what became of the builds", title_justify="left")
+    for m in summary["stages"]:
+        moves.add_row(f"{m['at_s']:.1f} s", str(m["build"]), str(m["stage"] + 1),
+                      m["phase"].replace("_", " "), f"{m['cap']:.0%}")
+    console.print(moves)
+    times = Table("class", *(f"p{q}" for q in ("50", "90", "99", "99.9")),
+                  title="milliseconds to the right answer, retries included", title_justify="left")
+    for cls, quantiles in summary["latency_ms"].items():
+        times.add_row(cls, *(f"{value:.0f}" for value in quantiles.values()))
+    console.print(times)
+    rules = Table("rule", "put to the test", "broken", title="the five rules, judged from the sockets",
+                  title_justify="left")
+    for rule, broken in summary["violations"].items():
+        rules.add_row(rule, str(summary["checked"][rule]), f"[red]{broken}[/red]" if broken else "never")
+    console.print(rules)
+    for rule, found in result.report.violations.items():
+        for text in found[:5]:
+            console.print(f"[red]{rule}[/red]: {text}", highlight=False)
+
+
+@click.group()
+def lab() -> None:
+    """The laboratory: days from a script, played against real agents, judged from the traffic."""
+
+
+@lab.command("play")
+@click.argument("file", type=FILE)
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of traffic, machines and agents.")
+@click.option("--report", type=click.Path(file_okay=False, path_type=Path),
+              help="Folder for the tape, the agents' logs and the violations in words.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object in place of the tables.")
+@click.option("--one-process", is_flag=True, help="Run the agents in this process.")
+def play_command(file: Path, seed: int, report: Path | None, as_json: bool, one_process: bool) -> None:
+    """Play the day in FILE; exit 1 when a rule was broken, 2 when the file is wrong."""
+    try:
+        result = run_day(file, seed, report, one_process, quiet=as_json)
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    if as_json:
+        click.echo(json.dumps(result.summary()))
+    else:
+        print_result(result)
+    sys.exit(1 if result.report.broken else 0)
+
+
+DEMO_SERVICE = Path(__file__).parent / "demo-agent.hcl"
+DEMO_DAY = Path(__file__).parent / "demo-day.hcl"
+
+
+@click.command()
+@click.option("--seed", type=int, default=1, show_default=True)
+def demo(seed: int) -> None:
+    """A small fleet, a bad build and a good one, in half a minute: watch agents find out which is which."""
+    Console(stderr=True).print(
+        "Two agents route a small fleet's traffic on loopback. Build 2 fails one class of requests; build 3 is "
+        "good.\nNobody tells the agents: they vote by what they see. Stages open a build to more of the fleet.\n")
+    with tempfile.TemporaryDirectory(prefix="otterquay-demo-") as folder:
+        result = run_day(DEMO_DAY, seed, Path(folder), one_process=False, quiet=False)
+    print_result(result)
+    sys.exit(1 if result.report.broken else 0)
--- /dev/null
+++ b/otterquay/cli/root.py
@@ -0,0 +1,128 @@
+"""All commands: the root, `agent`, `config`; laboratory and stand-ins have files of their own."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import secrets
+import signal
+import sys
+from pathlib import Path
+
+import click
+
+from otterquay.agent.runtime import FileCache, Runtime
+from otterquay.cli.lab import demo, lab
+from otterquay.cli.standin import standin
+from otterquay.config import ConfigError, load_service
+from otterquay.logs import configure
+
+FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+def main() -> None:
+    """Routes requests while the software of the servers behind it is replaced, and votes on each new build."""
+
+
+def _refuse(error: ConfigError) -> None:
+    click.echo(str(error), err=True)
+    sys.exit(2)
+
+
+@main.group()
+def config() -> None:
+    """Settings files."""
+
+
+@config.command()
+@click.argument("file", type=FILE)
+def check(file: Path) -> None:
+    """Check an agent's settings FILE; exit 2 with every problem found."""
+    try:
+        load_service(file)
+    except ConfigError as error:
+        _refuse(error)
+    click.echo(f"{file}: fine")
+
+
+@config.command()
+@click.argument("file", type=FILE)
+def show(file: Path) -> None:
+    """Print an agent's settings FILE with defaults filled in: JSON, times in milliseconds, shares 0 to 1."""
+    try:
+        click.echo(load_service(file).model_dump_json(indent=2, by_alias=True))
+    except ConfigError as error:
+        _refuse(error)
+
+
+def _key(text: str) -> bytes:
+    try:
+        key = bytes.fromhex(text.strip())
+    except ValueError:
+        key = b""
+    if len(key) != 32:
+        raise click.ClickException("the peer key file must hold 64 hex digits")
+    return key
+
+
+@main.command()
+@click.argument("file", type=FILE)
+@click.option("--number", type=click.IntRange(0), help="This agent's number, in place of the file's.")
+@click.option("--count", type=click.IntRange(1), help="How many agents there are, in place of the file's.")
+@click.option("--zone", help="This agent's zone, in place of the file's.")
+@click.option("--listen", help="HOST:PORT for clients, in place of the file's; port 0 takes a free one.")
+@click.option("--fleet", help="URL of the fleet list, in place of the file's.")
+@click.option("--desk", help="URL of the release desk, in place of the file's.")
+@click.option("--peer", "peers", multiple=True, metavar="N=HOST:PORT", help="Address of agent N for messages.")
+@click.option("--peer-key", type=FILE, help="File with the group's key, 64 hex digits.")
+@click.option("--cache", type=click.Path(dir_okay=False, path_type=Path), help="Keep the last list here.")
+@click.option("--seed", type=int, help="Seed of all chance; drawn from the system when not given.")
+@click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
+@click.option("--log-form", type=click.Choice(["json", "console"]), default="json")
+@click.option("--announce", is_flag=True, help="Print `listening HOST:PORT` on standard output once ready.")
+def agent(
+    file: Path, number: int | None, count: int | None, zone: str | None, listen: str | None,
+    fleet: str | None, desk: str | None, peers: tuple[str, ...], peer_key: Path | None, cache: Path | None,
+    seed: int | None, log_level: str, log_form: str, announce: bool,
+) -> None:
+    """Run an agent with the settings in FILE until SIGTERM or SIGINT; it then answers all it holds and ends."""
+    address = dict(item.partition("=")[::2] for item in peers) or None
+    try:
+        service = load_service(file, {
+            "agent": {"number": number, "count": count, "zone": zone, "listen": listen},
+            "feeds": {"fleet": fleet, "desk": desk},
+            "peers": {"address": address, "key_file": str(peer_key) if peer_key else None},
+        })
+    except ConfigError as error:
+        return _refuse(error)
+    key = None
+    if service.limits.peers and service.peers:
+        try:
+            key = _key(Path(service.peers.key_file).read_text(encoding="ascii"))
+        except (OSError, UnicodeDecodeError) as error:
+            raise click.ClickException(f"the peer key cannot be read: {error}") from None
+    log = configure(log_level, log_form, agent=service.agent.number)
+    rng = random.Random(secrets.randbits(64) if seed is None else seed)
+    path = cache or (Path(service.feeds.cache) if service.feeds.cache else None)
+    runtime = Runtime(service, rng, log, key, FileCache(path, log) if path else None)
+
+    async def run() -> None:
+        loop, ended = asyncio.get_running_loop(), asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, ended.set)
+        host, port = await runtime.start()
+        if announce:
+            click.echo(f"listening {host}:{port}")
+        await ended.wait()
+        await runtime.stop()
+
+    try:
+        asyncio.run(run())
+    except OSError as error:
+        raise click.ClickException(f"cannot start: {error}") from None
+
+
+main.add_command(lab)
+main.add_command(demo)
+main.add_command(standin)
--- /dev/null
+++ b/otterquay/config/schema.py
@@ -0,0 +1,220 @@
+"""What a settings file may hold: pydantic models of its blocks. Times are milliseconds once read."""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from otterquay.config.units import Address, Count, Duration, Positive, Share, Size
+
+LABELLED = "labelled"  # block "name" { ... }, any number
+REPEATED = "repeated"  # block { ... }, any number, in order
+
+
+class Block(BaseModel):
+    """A block; unknown keys are refused."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class RequestClass(Block):
+    """One class of requests: what repeating it does, and what it is worth when."""
+
+    effect: Literal["safe", "keyed", "unsafe"]
+    scope: Literal["all", "zone", "cell"] = "all"
+    repeat_window: Duration = 0.0
+    aim: Duration
+    aim_stretch: float = Field(default=0.0, ge=0)
+    deadline: Duration
+    worth: float = Field(default=1.0, gt=0)
+    late_worth: Share = 0.0
+
+    @model_validator(mode="after")
+    def _agree(self) -> RequestClass:
+        if not 0 < self.aim <= self.deadline:
+            raise ValueError("aim must be over 0 and at most the deadline")
+        if self.effect == "keyed" and self.repeat_window <= 0:
+            raise ValueError('effect "keyed" needs repeat_window: how long a repeat is dropped')
+        if self.effect != "keyed" and self.repeat_window > 0:
+            raise ValueError(f'repeat_window goes with effect "keyed", not "{self.effect}"')
+        return self
+
+
+class Tenant(Block):
+    """One tenant and its share of the service."""
+
+    quota_per_s: float = Field(gt=0)
+    share: Share
+
+
+class Limits(Block):
+    """What the deployment permits."""
+
+    cancel: bool = True
+    peers: bool = False
+    probes: bool = True
+    retry_after: bool = True
+    second_copies: bool = False
+    max_attempts: Positive = 3
+    max_open: Positive = 20000
+    max_retry_after: Duration = 1000.0
+    keepalive: Duration = 15000.0
+    connect_timeout: Duration = 250.0
+
+
+class Rules(Block):
+    """The figures behind the five rules."""
+
+    answer_slack: Duration = 20.0
+    ask_within: Duration = 10000.0
+    cold: Duration
+    start_capacity: Share
+    drain_grace: Duration
+    fall_multiple: float = Field(gt=0)
+    fall: Duration
+
+
+class Stage(Block):
+    """One stage of a rollout: its share of the fleet and the cap on an agent's attempts."""
+
+    share: Share
+    cap: Share
+
+
+class Rollout(Block):
+    """How builds are staged, voted on and priced."""
+
+    control: Literal["any", "share", "timer"] = "any"
+    replacement: Literal["beside", "in_place"] = "beside"
+    on_votes: Count = 1
+    back_votes: Positive = 1
+    hold_votes: Count = 0
+    bake: Duration
+    step: Duration = 0.0
+    push: Duration = 5000.0
+    call_timeout: Duration = 1000.0
+    calls_per_s: float = Field(default=100.0, gt=0)
+    vote_life: Duration
+    stage: Annotated[list[Stage], REPEATED] = Field(min_length=1)
+    window: Duration
+    free: float = Field(ge=0)
+    per_class: bool = False
+    guarded_stages: Count = 0
+    one_way: bool = False
+    tally: Duration = 0.0
+    tally_sample: Share = 0.0
+    flag_share: Share = 0.0
+    behind_price: float = Field(default=0.5, ge=0)
+    harm_price: float = Field(default=4.0, ge=0)
+
+    @model_validator(mode="after")
+    def _agree(self) -> Rollout:
+        if (self.control == "timer") != (self.on_votes == 0):
+            raise ValueError('on_votes is 0 under control "timer" and at least 1 otherwise')
+        if self.hold_votes and self.control != "timer":
+            raise ValueError('hold_votes goes with control "timer" only')
+        if self.guarded_stages > len(self.stage):
+            raise ValueError(f"guarded_stages is {self.guarded_stages}, but there are {len(self.stage)} stages")
+        return self
+
+
+class Front(Block):
+    """Bounds on what clients may hand the agent; beyond them it answers by itself."""
+
+    max_connections: Positive = 4096
+    max_head: Size = 16384
+    max_body: Size = 1048576
+    max_pipelined: Positive = 16
+    head_timeout: Duration = 10000.0
+    idle_timeout: Duration = 60000.0
+    write_timeout: Duration = 5000.0
+
+
+class Back(Block):
+    """Bounds on what appliances may hand the agent."""
+
+    max_head: Size = 16384
+    max_answer: Size = 4194304
+
+
+class Feeds(Block):
+    """Where the fleet list and the release desk are; reconnects wait between the two times, at random."""
+
+    fleet: str = Field(pattern=r"^http://[^/]+:\d+(/.*)?$")
+    desk: str = Field(pattern=r"^http://[^/]+:\d+(/.*)?$")
+    reconnect_least: Duration = 50.0
+    reconnect_most: Duration = 2000.0
+    silence: Duration = 15000.0
+    max_event: Size = 4194304
+    cache: str = ""
+
+    @model_validator(mode="after")
+    def _agree(self) -> Feeds:
+        if not 0 < self.reconnect_least <= self.reconnect_most:
+            raise ValueError("reconnect_least must be over 0 and at most reconnect_most")
+        return self
+
+
+class Peers(Block):
+    """Datagrams between agents: a shared key of 64 hex digits in a file, and each agent's address."""
+
+    key_file: str
+    address: dict[str, Address] = Field(min_length=1)
+
+
+class Agent(Block):
+    """This agent among its group; the command line may override number, zone and listen."""
+
+    number: Count = 0
+    count: Positive = 1
+    zone: str
+    listen: Address
+    stop_within: Duration = 10000.0
+
+    @model_validator(mode="after")
+    def _agree(self) -> Agent:
+        if self.number >= self.count:
+            raise ValueError(f"number is {self.number}, but must be under count, {self.count}")
+        return self
+
+
+class Service(Block):
+    """A whole settings file of an agent."""
+
+    zones: list[str] = Field(min_length=1)
+    report_fields: list[Literal["inflight", "queue", "util", "latency_ms", "qps", "eps"]] = []
+    reports_in: Literal["answers", "probes", "none"] = "none"
+    discovery: Literal["push", "ask"] = "push"
+    over_share_worth: Share = 1.0
+    worth_by: Literal["request", "work"] = "request"
+    clients_mark_retries: bool = False
+    cross_zone_price: float = Field(default=0.0, ge=0)
+    tick: Duration = 5.0
+    agent: Agent
+    class_: Annotated[dict[str, RequestClass], LABELLED] = Field(alias="class", min_length=1)
+    tenant: Annotated[dict[str, Tenant], LABELLED] = {}
+    limits: Limits = Limits()
+    rules: Rules
+    rollout: Rollout
+    front: Front = Front()
+    back: Back = Back()
+    feeds: Feeds
+    peers: Peers | None = None
+
+
+    @model_validator(mode="after")
+    def _agree(self) -> Service:
+        if len(set(self.zones)) != len(self.zones):
+            raise ValueError("zones: a name stands twice")
+        if self.agent.zone not in self.zones:
+            raise ValueError(f"agent.zone: {self.agent.zone!r} is none of zones {self.zones}")
+        if self.tenant and sum(t.share for t in self.tenant.values()) > 1.0 + 1e-6:
+            raise ValueError("tenant: the shares add up to over 100%")
+        if self.limits.peers and self.peers is None:
+            raise ValueError("limits.peers is true, but there is no block peers")
+        if self.limits.peers and self.peers:
+            lacks = [str(i) for i in range(self.agent.count) if str(i) not in self.peers.address]
+            if lacks:
+                raise ValueError(f"peers.address lacks agent {', '.join(lacks)}")
+        return self
--- /dev/null
+++ b/otterquay/config/units.py
@@ -0,0 +1,60 @@
+"""Units of the settings files: every duration and share names its unit, so that no figure is guessed."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Any
+
+from pydantic import BeforeValidator, Field
+
+_DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
+_IN_MS = {"ms": 1.0, "s": 1e3, "m": 60e3, "h": 3600e3}
+_SHARE = re.compile(r"(\d+(?:\.\d+)?)%")
+_SIZE = re.compile(r"(\d+)(B|KiB|MiB)")
+_IN_BYTES = {"B": 1, "KiB": 1024, "MiB": 1024**2}
+
+
+def parse_duration(value: Any) -> float:
+    """Milliseconds from text such as "800ms", "1.5s", "2m", "1h"; ValueError for anything else."""
+    match = _DURATION.fullmatch(value) if isinstance(value, str) else None
+    if not match:
+        raise ValueError(f'{value!r} is no duration: write a number with ms, s, m or h, such as "1.5s"')
+    return float(match[1]) * _IN_MS[match[2]]
+
+
+def parse_share(value: Any) -> float:
+    """A part of the whole, 0 to 1, from text such as "25%"; ValueError for anything else."""
+    match = _SHARE.fullmatch(value) if isinstance(value, str) else None
+    if not match or float(match[1]) > 100:
+        raise ValueError(f'{value!r} is no share: write "0%" to "100%", such as "25%"')
+    return float(match[1]) / 100
+
+
+def parse_size(value: Any) -> int:
+    """Bytes from text such as "512B", "64KiB", "1MiB"; ValueError for anything else."""
+    match = _SIZE.fullmatch(value) if isinstance(value, str) else None
+    if not match:
+        raise ValueError(f'{value!r} is no size: write a number with B, KiB or MiB, such as "64KiB"')
+    return int(match[1]) * _IN_BYTES[match[2]]
+
+
+def parse_address(value: Any) -> str:
+    """HOST:PORT with a numeric port, as text; ValueError for anything else."""
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f'{value!r} is no address: write "HOST:PORT", such as "127.0.0.1:8080"')
+    return str(value)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Host and port of a checked address."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+Duration = Annotated[float, BeforeValidator(parse_duration)]
+Share = Annotated[float, BeforeValidator(parse_share)]
+Size = Annotated[int, BeforeValidator(parse_size)]
+Address = Annotated[str, BeforeValidator(parse_address)]
+Count = Annotated[int, Field(strict=True, ge=0)]
+Positive = Annotated[int, Field(strict=True, ge=1)]
--- /dev/null
+++ b/otterquay/lab/hosts.py
@@ -0,0 +1,162 @@
+"""Agents under test: each in a process of its own, or in this one for tests that need its hands on the code."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Protocol
+
+from otterquay import interface as it
+from otterquay import rules
+from otterquay.agent.runtime import Cache, Decider, Runtime
+from otterquay.config.schema import Peers, Service
+from otterquay.logs import silent
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where one agent stands in a run."""
+
+    number: int
+    count: int
+    zone: str
+    fleet: str
+    desk: str
+    seed: int
+    peers: dict[str, str]
+
+
+def placed(service: Service, place: Place) -> Service:
+    """The settings as this agent gets them."""
+    agent = service.agent.model_copy(update={
+        "number": place.number, "count": place.count, "zone": place.zone, "listen": "127.0.0.1:0"})
+    feeds = service.feeds.model_copy(update={"fleet": place.fleet, "desk": place.desk})
+    peers = Peers(key_file="", address=place.peers) if place.peers else None
+    return service.model_copy(update={"agent": agent, "feeds": feeds, "peers": peers})
+
+
+class Host(Protocol):
+    """One agent that can be started, killed and stopped again and again."""
+
+    async def start(self) -> str: ...
+
+    async def kill(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def pause(self, on: bool) -> None: ...
+
+
+class MemoryCache:
+    """A cached list that outlives an agent in this process."""
+
+    def __init__(self) -> None:
+        self.data: bytes | None = None
+
+    def load(self) -> bytes | None:
+        """What was saved last."""
+        return self.data
+
+    def save(self, data: bytes) -> None:
+        """Replace it."""
+        self.data = data
+
+
+@dataclass(slots=True)
+class Inside:
+    """An agent in this process; `decider` may be a module with a guard taken out."""
+
+    service: Service
+    place: Place
+    key: bytes
+    decider: Callable[[it.Settings, int], Decider] = rules.Agent
+    cache: Cache = field(default_factory=MemoryCache)
+    runtime: Runtime | None = None
+    starts: int = 0
+
+    async def start(self) -> str:
+        """Start; returns the address that clients use."""
+        self.starts += 1
+        rng = random.Random(self.place.seed * 1000 + self.starts)
+        self.runtime = Runtime(placed(self.service, self.place), rng, silent(), self.key, self.cache,
+                               self.decider)
+        host, port = await self.runtime.start()
+        return f"{host}:{port}"
+
+    async def kill(self) -> None:
+        """End at once, answering nothing."""
+        if self.runtime:
+            runtime, self.runtime = self.runtime, None
+            runtime.post = lambda event: None  # type: ignore[method-assign]
+            for client in list(runtime.front.clients):
+                client.number = None
+                client.writer.transport.abort()
+            runtime.close()
+
+    async def stop(self) -> None:
+        """End in good order."""
+        if self.runtime:
+            runtime, self.runtime = self.runtime, None
+            await runtime.stop()
+
+    def pause(self, on: bool) -> None:
+        """Not possible here: a paused agent needs a process of its own."""
+
+
+@dataclass(slots=True)
+class Process:
+    """An agent as users run it: `otterquay agent FILE`, on its own."""
+
+    settings: Path
+    place: Place
+    key_file: Path
+    logs: Path
+    process: asyncio.subprocess.Process | None = None
+    starts: int = 0
+
+    async def start(self) -> str:
+        """Start and wait until it listens; RuntimeError when it ends instead."""
+        self.starts += 1
+        place = self.place
+        command = [
+            sys.executable, "-m", "otterquay", "agent", str(self.settings), "--number", str(place.number),
+            "--count", str(place.count), "--zone", place.zone, "--listen", "127.0.0.1:0",
+            "--fleet", place.fleet, "--desk", place.desk, "--seed", str(place.seed * 1000 + self.starts),
+            "--cache", str(self.logs / f"agent-{place.number}.cache"), "--announce",
+        ]
+        for number, address in place.peers.items():
+            command += ["--peer", f"{number}={address}"]
+        if place.peers:
+            command += ["--peer-key", str(self.key_file)]
+        with open(self.logs / f"agent-{place.number}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *command, stdout=asyncio.subprocess.PIPE, stderr=log, stdin=asyncio.subprocess.DEVNULL)
+        assert self.process.stdout
+        line = (await self.process.stdout.readline()).decode().split()
+        if len(line) != 2 or line[0] != "listening":
+            raise RuntimeError(f"agent {place.number} did not start; see {log.name}")
+        return line[1]
+
+    async def kill(self) -> None:
+        """SIGKILL."""
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+    async def stop(self) -> None:
+        """SIGTERM, then wait for its end."""
+        if self.process and self.process.returncode is None:
+            self.process.terminate()
+            await self.process.wait()
+
+    def pause(self, on: bool) -> None:
+        """Stand still, or go on."""
+        if self.process and self.process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self.process.send_signal(signal.SIGSTOP if on else signal.SIGCONT)
--- /dev/null
+++ b/otterquay/lab/world.py
@@ -0,0 +1,293 @@
+"""A world of stand-ins around the agents of one run, and the faults of its day."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import socket
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from otterquay.config.schema import Service
+from otterquay.lab.day import Day, FaultPlan
+from otterquay.lab.hosts import Host, Place
+from otterquay.standins.appliance import Appliance, Flaw, Shape
+from otterquay.standins.clients import Clients, Habit
+from otterquay.standins.desk import Desk
+from otterquay.standins.fleet import Fleet, Position
+from otterquay.standins.tape import AgentDown, AgentUp, Tape
+
+SETTLE_S = 1.0  # from the agents' start to the first request
+
+
+def free_ports(count: int) -> list[int]:
+    """Datagram ports that were free a moment ago."""
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [int(one.getsockname()[1]) for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+@dataclass(slots=True, eq=False)
+class World:
+    """Everything but the agents' code. `hosts` makes the agent for a place."""
+
+    day: Day
+    service: Service
+    seed: int
+    hosts: Callable[[Place], Host]
+    say: Callable[[str], None] = lambda text: None
+    tape: Tape = field(default_factory=Tape)
+    latencies: Callable[[str, float], None] = lambda cls, seconds: None
+    fleet: Fleet = field(init=False)
+    desk: Desk = field(init=False)
+    clients: Clients = field(init=False)
+    agents: list[Host] = field(default_factory=list)
+    running: dict[int, str] = field(default_factory=dict)
+    burst: float = 1.0
+    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def run(self) -> None:
+        """The whole day."""
+        try:
+            await self._start()
+            faults = asyncio.get_running_loop().create_task(self.play())
+            await self.clients.offer(self._rate, self.day.duration / 1e3)
+            await faults
+            for task in list(self._tasks):
+                await task
+        finally:
+            await self._close()
+
+    def _rate(self, _: float) -> float:
+        return self.day.traffic.rate * self.burst
+
+    async def open(self) -> tuple[str, str]:
+        """Start appliances, fleet list and desk; returns the addresses of the last two."""
+        day, service, rng = self.day, self.service, random.Random(self.seed)
+        plan, zones, rules = day.fleet, self.service.zones, self.service.rules
+        keyed = [c.repeat_window for c in service.class_.values() if c.effect == "keyed"]
+        self.fleet = Fleet(self.tape, rng, zones, max(keyed, default=5000.0) / 1e3 * 1.25,
+                           lambda n: day.agents.zones[n], plan.list_lag / 1e3)
+        for i in range(plan.machines):
+            shape = Shape(
+                plan.cores, rng.uniform(plan.speed_least, plan.speed_most), plan.queue, plan.max_connections,
+                plan.handshake / 1e3, rules.start_capacity, rules.cold / 1e3, rules.fall_multiple,
+                rules.fall / 1e3)
+            self.fleet.positions.append(Position(zones[i % len(zones)], shape))
+        for name, build in day.build.items():
+            if build.flaw != "none":
+                self.fleet.flaws[int(name)] = Flaw(build.flaw, build.share, build.of_class, build.factor,
+                                                   build.busy, build.after / 1e3)
+        fleet_at = await self.fleet.list.source.start()
+        for position in self.fleet.positions:
+            await self.fleet.start(position, 1, cold=False)
+        self.desk = Desk(self.tape, self.fleet, service, rng, plan.desk_lag / 1e3, plan.start / 1e3)
+        desk_at = await self.desk.start()
+        await asyncio.sleep(plan.list_lag / 1e3 + 0.05)
+        return fleet_at, desk_at
+
+    def crowd(self, agents: dict[int, str]) -> Clients:
+        """The day's clients, against agents at these addresses."""
+        day, service = self.day, self.service
+        habits = [
+            Habit(name, service.class_[name].effect, service.class_[name].scope, c.share,
+                  (c.work_least, c.work_most), service.class_[name].deadline / 1e3,
+                  service.class_[name].repeat_window / 1e3)
+            for name, c in day.traffic.class_.items()
+        ]
+        tenants = [(n, t.share) for n, t in service.tenant.items()] or [("", 1.0)]
+        clients = Clients(
+            self.tape, random.Random(self.seed + 1), habits, tenants, agents, day.agents.weights,
+            day.traffic.retries, day.traffic.backoff / 1e3, (day.traffic.patience_least, 1.0))
+        clients.latencies = self.latencies
+        return clients
+
+    async def _start(self) -> None:
+        fleet_at, desk_at = await self.open()
+        count = len(self.day.agents.zones)
+        ports = free_ports(count) if self.service.limits.peers else []
+        peers = {str(i): f"127.0.0.1:{port}" for i, port in enumerate(ports)}
+        for number, zone in enumerate(self.day.agents.zones):
+            place = Place(number, count, zone, f"http://{fleet_at}", f"http://{desk_at}",
+                          self.seed * 100 + number, peers)
+            self.agents.append(self.hosts(place))
+        await asyncio.gather(*(self._start_agent(n) for n in range(count)))
+        self.clients = self.crowd(self.running)
+        await asyncio.sleep(SETTLE_S)
+
+    async def _start_agent(self, number: int) -> None:
+        self.tape.add(AgentUp(self._now(), number))
+        self.running[number] = await self.agents[number].start()
+
+    async def _close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        for number, host in enumerate(self.agents):
+            host.pause(False)
+            self.running.pop(number, None)
+            await host.stop()
+            self.tape.add(AgentDown(self._now(), number, "stopped"))
+        if hasattr(self, "clients"):
+            self.clients.close()
+        if hasattr(self, "desk"):
+            self.desk.close()
+        if hasattr(self, "fleet"):
+            self.fleet.close()
+
+    # --- builds and faults ---
+    async def play(self) -> None:
+        """Builds and faults, each at its time from now."""
+        begin = self._now()
+        script: list[tuple[float, Callable[[], None]]] = []
+        for name, build in self.day.build.items():
+            script.append((build.at, lambda name=name, flaw=build.flaw: self._offer(int(name), flaw)))  # type: ignore[misc]
+        for fault in self.day.fault:
+            script.append((fault.at, lambda fault=fault: self._begin(fault)))  # type: ignore[misc]
+        for at, act in sorted(script, key=lambda item: item[0]):
+            await asyncio.sleep(max(0.0, begin + at / 1e3 - self._now()))
+            act()
+
+    def _offer(self, build: int, flaw: str) -> None:
+        self.say(f"build {build} is offered" + (f" (it is bad: {flaw})" if flaw != "none" else ""))
+        self.desk.offer(build)
+
+    def _begin(self, fault: FaultPlan) -> None:
+        lasts = f" for {fault.lasts / 1e3:g} s" if fault.lasts else ""
+        self.say(f"trouble: {fault.kind.replace('_', ' ')}{lasts}")
+        task = asyncio.get_running_loop().create_task(self._fault(fault))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _fault(self, fault: FaultPlan) -> None:
+        handler: Callable[[FaultPlan], object] = getattr(self, f"_{fault.kind}")
+        done = handler(fault)
+        if asyncio.iscoroutine(done):
+            return await done  # type: ignore[no-any-return]
+        await asyncio.sleep(fault.lasts / 1e3)
+        if callable(done):
+            done()
+
+    def _set(self, things: Sequence[object], **values: object) -> Callable[[], None]:
+        """Set attributes now; the result puts back what was there."""
+        before = [(thing, name, getattr(thing, name)) for thing in things for name in values]
+        for thing, name, _ in before:
+            setattr(thing, name, values[name])
+
+        def undo() -> None:
+            for thing, name, value in before:
+                setattr(thing, name, value)
+
+        return undo
+
+    def _links(self, fault: FaultPlan) -> list[object]:
+        a, b = fault.zones
+        return [self.fleet.links[a, b], self.fleet.links[b, a]]
+
+    def _servers(self, fault: FaultPlan) -> list[Appliance]:
+        ready = [a for p in self.fleet.positions if (a := self.fleet.newest(p))]
+        return self.fleet.rng.sample(ready, min(fault.count, len(ready)))
+
+    def _zone_cut(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._links(fault), cut=True)
+
+    def _one_way(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._links(fault), one_way=True)
+
+    def _link_reset(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._links(fault), reset=True)
+
+    def _link_slow(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._links(fault), delay_s=fault.factor / 1e3)
+
+    async def _zone_loss(self, fault: FaultPlan) -> None:
+        lost = [(p, a) for p in self.fleet.positions if p.zone == fault.zones[0] for a in list(p.held)]
+        for position, appliance in lost:
+            self.fleet.end(position, appliance)
+        await asyncio.sleep(fault.lasts / 1e3)
+        for position, appliance in lost:
+            await self.fleet.start(position, appliance.build, True, appliance.server)
+
+    async def _kill_agent(self, fault: FaultPlan) -> None:
+        self.running.pop(fault.agent, None)
+        await self.agents[fault.agent].kill()
+        self.tape.add(AgentDown(self._now(), fault.agent, "killed"))
+        await asyncio.sleep(fault.lasts / 1e3)
+        await self._start_agent(fault.agent)
+
+    async def _stop_agent(self, fault: FaultPlan) -> None:
+        self.running.pop(fault.agent, None)
+        await self.agents[fault.agent].stop()
+        self.tape.add(AgentDown(self._now(), fault.agent, "stopped"))
+        await asyncio.sleep(fault.lasts / 1e3)
+        await self._start_agent(fault.agent)
+
+    def _pause_agent(self, fault: FaultPlan) -> Callable[[], None]:
+        self.agents[fault.agent].pause(True)
+        return lambda: self.agents[fault.agent].pause(False)
+
+    async def _drain(self, fault: FaultPlan) -> None:
+        drained = self._servers(fault)
+        for position in self.fleet.positions:
+            for appliance in [a for a in position.held if a in drained]:
+                self.fleet.drain(position, appliance, self.service.rules.drain_grace / 1e3 + 1.0)
+                await self.fleet.start(position, appliance.build, cold=True)
+
+    async def _kill_servers(self, fault: FaultPlan) -> None:
+        killed = self._servers(fault)
+        places = [(p, a) for p in self.fleet.positions for a in p.held if a in killed]
+        for position, appliance in places:
+            self.fleet.end(position, appliance)
+        await asyncio.sleep(fault.lasts / 1e3)
+        for position, appliance in places:  # under its old id, cold
+            await self.fleet.start(position, appliance.build, True, appliance.server)
+
+    def _pause_servers(self, fault: FaultPlan) -> None:
+        for appliance in self._servers(fault):
+            appliance.pause(fault.lasts / 1e3)
+
+    def _slow_servers(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._servers(fault), slow=fault.factor)
+
+    def _fail_servers(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._servers(fault), fail_share=fault.share)
+
+    def _silent_servers(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._servers(fault), silent=True)
+
+    def _garbage_servers(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._servers(fault), garbage=True)
+
+    def _midway_servers(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._servers(fault), midway=True)
+
+    def _twice_servers(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set(self._servers(fault), twice=True)
+
+    def _shared_slow(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set([self.fleet], drag=fault.factor)
+
+    def _burst(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set([self], burst=fault.factor)
+
+    def _desk_stall(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set([self.desk], stalled=True)
+
+    def _lose_vote_answers(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set([self.desk], lose_answers=True)
+
+    def _list_late(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set([self.fleet.list], extra_lag_s=fault.factor)
+
+    def _drop_feeds(self, fault: FaultPlan) -> None:
+        self.fleet.list.source.drop_all()
+        self.desk.source.drop_all()
+
+    def _repeat_feeds(self, fault: FaultPlan) -> Callable[[], None]:
+        return self._set([self.fleet.list.source, self.desk.source], twice=True)
--- /dev/null
+++ b/otterquay/protocol/http.py
@@ -0,0 +1,206 @@
+"""HTTP/1.1 (RFC 9112) over httptools: bounded parsers and writers of whole messages, without I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from http import HTTPStatus
+
+import httptools
+
+HOP_BY_HOP = frozenset((
+    b"connection", b"keep-alive", b"proxy-connection", b"te", b"trailer", b"transfer-encoding", b"upgrade",
+    b"host", b"content-length", b"expect",
+))
+PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class ProtocolError(Exception):
+    """The peer's bytes are refused; `status` is what a server answers to them."""
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason)
+        self.status, self.reason = status, reason
+
+
+@dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """A whole request; header names are in lower case, repeated fields joined (RFC 9110 section 5.2)."""
+
+    method: bytes
+    target: bytes
+    headers: dict[bytes, bytes]
+    body: bytes
+    keep_alive: bool
+
+
+@dataclass(frozen=True, slots=True)
+class HttpResponse:
+    """A whole response; header names are in lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+    keep_alive: bool
+
+
+class _Message:
+    """What one message in the making has brought; shared by both parsers."""
+
+    def __init__(self, max_head: int, max_body: int) -> None:
+        self._max_head, self._max_body = max_head, max_body
+        self._fresh()
+
+    def _fresh(self) -> None:
+        self._target = b""
+        self._headers: dict[bytes, bytes] = {}
+        self._body: list[bytes] = []
+        self._head_size = self._body_size = 0
+        self.started = False
+
+    def on_message_begin(self) -> None:
+        self._fresh()
+        self.started = True
+
+    def on_url(self, url: bytes) -> None:
+        self._target += url
+        self._grow(len(url))
+
+    def _grow(self, size: int) -> None:
+        self._head_size += size
+        if self._head_size > self._max_head:
+            raise ProtocolError(431, f"header fields over {self._max_head} bytes")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        self._grow(len(name) + len(value) + 4)
+        self._headers[name] = self._headers[name] + b", " + value if name in self._headers else value
+
+    def on_body(self, data: bytes) -> None:
+        self._body_size += len(data)
+        if self._body_size > self._max_body:
+            raise ProtocolError(413, f"content over {self._max_body} bytes")
+        self._body.append(data)
+
+
+def _refusal(error: httptools.HttpParserError) -> ProtocolError:
+    cause = error.__context__
+    return cause if isinstance(cause, ProtocolError) else ProtocolError(400, f"malformed HTTP: {error}")
+
+
+class RequestParser(_Message):
+    """Bytes of one client connection in, whole requests out; any number may come in one feed."""
+
+    def __init__(self, max_head: int = 16384, max_body: int = 1048576) -> None:
+        super().__init__(max_head, max_body)
+        self._parser = httptools.HttpRequestParser(self)
+        self._done: list[HttpRequest] = []
+        self._line = 0
+
+    def on_headers_complete(self) -> None:
+        length = self._headers.get(b"content-length")
+        if length is not None and (not length.isdigit() or int(length) > self._max_body):
+            raise ProtocolError(413, f"content over {self._max_body} bytes")
+        if length is not None and b"transfer-encoding" in self._headers:
+            raise ProtocolError(400, "both content-length and transfer-encoding")
+
+    def on_message_complete(self) -> None:
+        self._done.append(HttpRequest(
+            self._parser.get_method(), self._target, self._headers, b"".join(self._body),
+            self._parser.should_keep_alive(),
+        ))
+        self.started = False
+
+    def feed(self, data: bytes) -> list[HttpRequest]:
+        """The requests that these bytes complete; ProtocolError once what came cannot be read on."""
+        self._done = []
+        if not self.started:
+            self._line = 0
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise ProtocolError(501, "no protocol upgrade here") from None
+        except httptools.HttpParserError as error:
+            raise _refusal(error) from None
+        if self.started and not self._headers:  # a start line that never ends is not yet counted above
+            self._line += len(data)
+            if self._line > self._max_head:
+                raise ProtocolError(431, f"start line over {self._max_head} bytes")
+        return self._done
+
+
+class ResponseParser(_Message):
+    """Bytes of one server connection in, whole responses out, or content as it comes with `stream`."""
+
+    def __init__(
+        self, max_head: int = 16384, max_body: int = 4194304, stream: Callable[[bytes], None] | None = None
+    ) -> None:
+        super().__init__(max_head, max_body)
+        self._parser = httptools.HttpResponseParser(self)
+        self._stream, self._done = stream, list[HttpResponse]()
+        self.status, self._until_close, self._raw = 0, False, 0
+
+    @property
+    def headers(self) -> dict[bytes, bytes]:
+        """Header fields of the message in the making."""
+        return self._headers
+
+    def on_headers_complete(self) -> None:
+        self.status = self._parser.get_status_code()
+        framed = b"content-length" in self._headers or b"transfer-encoding" in self._headers
+        self._until_close = not framed and self.status >= 200 and self.status not in (204, 304)
+
+    def on_body(self, data: bytes) -> None:
+        if self._stream is None:
+            super().on_body(data)
+        else:
+            self._stream(data)
+
+    def _response(self, keep_alive: bool) -> HttpResponse:
+        return HttpResponse(self.status, self._headers, b"".join(self._body), keep_alive)
+
+    def on_message_complete(self) -> None:
+        if self.status >= 200:  # an interim response (RFC 9110 section 15.2) ends nothing
+            self._done.append(self._response(self._parser.should_keep_alive()))
+        self.started = False
+
+    def feed(self, data: bytes) -> list[HttpResponse]:
+        """The responses that these bytes complete; ProtocolError for what is no response."""
+        self._done = []
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise ProtocolError(502, "an upgrade that nobody asked for") from None
+        except httptools.HttpParserError as error:
+            raise _refusal(error) from None
+        return self._done
+
+    def eof(self) -> HttpResponse | None:
+        """The response that the end of the connection completes (RFC 9112 section 6.3), if any."""
+        return self._response(False) if self.started and self._until_close else None
+
+
+def write_request(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b""
+) -> bytes:
+    """A whole request with its content-length."""
+    lines = [method, b" ", target, b" HTTP/1.1\r\n"]
+    for name, value in headers:
+        lines += (name, b": ", value, b"\r\n")
+    lines.append(b"content-length: %d\r\n\r\n" % len(body))
+    lines.append(body)
+    return b"".join(lines)
+
+
+def write_response(
+    status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes = b"", keep_alive: bool = True
+) -> bytes:
+    """A whole response with its content-length."""
+    lines = [b"HTTP/1.1 %d %s\r\n" % (status, PHRASES.get(status, b"Unknown"))]
+    for name, value in headers:
+        lines += (name, b": ", value, b"\r\n")
+    if not keep_alive:
+        lines.append(b"connection: close\r\n")
+    lines.append(b"content-length: %d\r\n\r\n" % len(body))
+    lines.append(body)
+    return b"".join(lines)
--- /dev/null
+++ b/otterquay/protocol/orca.py
@@ -0,0 +1,52 @@
+"""Load reports in answers: ORCA's header form (xds.data.orca.v3, native HTTP: `TEXT` and `JSON`)."""
+
+from __future__ import annotations
+
+import json
+import math
+from collections.abc import Sequence
+
+from otterquay.interface import LoadField
+
+HEADER = b"endpoint-load-metrics"
+NAMES = {
+    LoadField.UTIL: "cpu_utilization",
+    LoadField.QPS: "rps_fractional",
+    LoadField.EPS: "eps",
+    LoadField.INFLIGHT: "named_metrics.inflight",
+    LoadField.QUEUE: "named_metrics.queue",
+    LoadField.LATENCY_MS: "named_metrics.latency_ms",
+}
+
+
+def _flat(data: dict[str, object]) -> dict[str, float]:
+    found: dict[str, float] = {}
+    for name, value in data.items():
+        if isinstance(value, dict):
+            found.update({f"{name}.{inner}": x for inner, x in _flat(value).items()})
+        elif isinstance(value, int | float) and not isinstance(value, bool):
+            found[name] = float(value)
+    return found
+
+
+def parse(header: bytes, fields: Sequence[LoadField]) -> tuple[float, ...]:
+    """The values of `fields`, in their order; empty when the report is absent, broken or incomplete."""
+    try:
+        form, _, text = header.decode("ascii").partition(" ")
+        if form == "JSON":
+            loaded = json.loads(text)
+            values = _flat(loaded) if isinstance(loaded, dict) else {}
+        elif form == "TEXT":
+            pairs = (part.partition("=") for part in text.split(","))
+            values = {name.strip(): float(value) for name, _, value in pairs}
+        else:
+            return ()
+        found = tuple(values[NAMES[field]] for field in fields)
+    except (ValueError, KeyError, RecursionError):
+        return ()
+    return found if all(math.isfinite(x) and x >= 0 for x in found) else ()
+
+
+def encode(values: dict[LoadField, float]) -> bytes:
+    """A report in the `TEXT` form."""
+    return b"TEXT " + ",".join(f"{NAMES[f]}={v:g}" for f, v in values.items()).encode()
--- /dev/null
+++ b/otterquay/protocol/sse.py
@@ -0,0 +1,79 @@
+"""Server-sent events (WHATWG HTML, section 9.2): a bounded parser and a writer, without I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class SseEvent:
+    """One event; `id` is the last id seen on the stream, empty before the first."""
+
+    event: str
+    data: str
+    id: str
+
+
+class SseError(Exception):
+    """The stream cannot be read on: an event over its bound, or bytes that are not UTF-8."""
+
+
+class SseParser:
+    """Bytes in, events out; a comment line counts as life but is no event."""
+
+    def __init__(self, max_event: int = 4194304) -> None:
+        self._max = max_event
+        self._rest = b""
+        self._data: list[str] = []
+        self._event, self.last_id, self._size = "", "", 0
+        self._skip_newline = False
+
+    def feed(self, data: bytes) -> list[SseEvent]:
+        """The events that these bytes complete."""
+        if self._skip_newline and data.startswith(b"\n"):
+            data = data[1:]
+        self._skip_newline = data.endswith(b"\r")
+        buffer = self._rest + data
+        lines = buffer.replace(b"\r\n", b"\n").replace(b"\r", b"\n").split(b"\n")
+        self._rest = lines.pop()
+        self._size += len(data)
+        if self._size > self._max:
+            raise SseError(f"an event over {self._max} bytes")
+        events = []
+        for line in lines:
+            try:
+                found = self._line(line.decode("utf-8"))
+            except UnicodeDecodeError:
+                raise SseError("not UTF-8") from None
+            if found:
+                events.append(found)
+            if not line:
+                self._size = len(self._rest)
+        return events
+
+    def _line(self, line: str) -> SseEvent | None:
+        if not line:
+            if not self._data:
+                self._event = ""
+                return None
+            event = SseEvent(self._event or "message", "\n".join(self._data), self.last_id)
+            self._event, self._data = "", []
+            return event
+        name, _, value = line.partition(":")
+        value = value.removeprefix(" ")
+        if name == "data":
+            self._data.append(value)
+        elif name == "event":
+            self._event = value
+        elif name == "id" and "\0" not in value:
+            self.last_id = value
+        return None
+
+
+def encode_event(event: str, data: str, id: str) -> bytes:
+    """One event as bytes; `data` may hold newlines."""
+    body = "".join(f"data: {line}\n" for line in data.split("\n"))
+    return f"event: {event}\nid: {id}\n{body}\n".encode()
+
+
+HEARTBEAT = b": still here\n\n"
--- /dev/null
+++ b/otterquay/standins/appliance.py
@@ -0,0 +1,256 @@
+"""An appliance: cores, a queue, a cold start that falls over, drains, a connection limit, flaws of its build."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Literal
+
+from otterquay.agent.outcomes import NOT_SEEN
+from otterquay.interface import LoadField
+from otterquay.protocol import orca
+from otterquay.protocol.http import HttpRequest, write_response
+from otterquay.standins.http import Listener, Peer
+from otterquay.standins.tape import Arrived, Ran, Replied, Started, Tape
+
+OPERATION, WORK = b"x-operation", b"x-work-ms"
+
+
+@dataclass(frozen=True, slots=True)
+class Flaw:
+    """What is wrong with a build. `share` of requests fail or answer wrong, `factor` is the work's multiple."""
+
+    kind: Literal["errors", "class", "slow", "load", "late", "wrong", "shared"]
+    share: float = 0.0
+    cls: str = ""
+    factor: float = 1.0
+    busy: float = 0.5
+    after_s: float = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """What a machine can do. `start_capacity` is the part at its start, whole after `cold_s`."""
+
+    cores: int = 2
+    speed: float = 1.0
+    queue: int = 64
+    max_connections: int = 512
+    handshake_s: float = 0.0
+    start_capacity: float = 0.4
+    cold_s: float = 4.0
+    fall_multiple: float = 3.0
+    fall_s: float = 2.0
+
+
+class DedupBook:
+    """Which keyed operations a group of appliances has met, for how long it remembers them."""
+
+    def __init__(self, window_s: float) -> None:
+        self._window = window_s
+        self._met: OrderedDict[str, float] = OrderedDict()
+
+    def repeat(self, key: str, now: float) -> bool:
+        """True when the key was met within the window; it is remembered from its first meeting."""
+        while self._met and next(iter(self._met.values())) < now - self._window:
+            self._met.popitem(last=False)
+        if key in self._met:
+            return True
+        self._met[key] = now
+        return False
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    peer: Peer
+    request: HttpRequest
+    id: str
+    tag: str
+    work_s: float
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Appliance:
+    """One appliance's process: from its start to its end on one address."""
+
+    server: int
+    incarnation: int
+    build: int
+    zone: str
+    shape: Shape
+    tape: Tape
+    rng: random.Random
+    book: DedupBook
+    flaw: Flaw | None = None
+    cold: bool = False
+    drag: Callable[[], float] = lambda: 1.0  # slowness from outside, such as a shared dependency
+    slow: float = 1.0
+    fail_share: float = 0.0
+    silent: bool = False
+    garbage: bool = False
+    twice: bool = False
+    midway: bool = False
+    draining: bool = False
+    down: bool = False
+    listener: Listener = field(init=False)
+    running: set[_Job] = field(default_factory=set)
+    waiting: deque[_Job] = field(default_factory=deque)
+    started: float = 0.0
+    _work: deque[tuple[float, float]] = field(default_factory=deque)
+    _paused: bool = False
+    _done: int = 0
+
+    def __post_init__(self) -> None:
+        self.listener = Listener(self._request)
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen; returns HOST:PORT."""
+        self.started = asyncio.get_running_loop().time()
+        address = await self.listener.start(host, port)
+        whole = self.shape.cores * self.shape.speed
+        self.tape.add(Started(self.started, self.server, self.incarnation, self.build, whole, self.cold))
+        return address
+
+    def stop(self, graceful: bool = False) -> None:
+        """End the process; without grace all connections are reset."""
+        self.down = True
+        for job in self.running:
+            if job.timer:
+                job.timer.cancel()
+        self.listener.close(abort=not graceful)
+
+    def pause(self, seconds: float) -> None:
+        """Stand still: nothing starts or ends."""
+        self._paused = True
+        asyncio.get_running_loop().call_later(seconds, self._resume)
+
+    def _resume(self) -> None:
+        self._paused = False
+        for job in [job for job in self.running if job.timer is None]:
+            self._finish(job)
+        self._fill()
+
+    def capacity(self, now: float) -> float:
+        """Core seconds a second that it can do at `now`, on the clock of the loop."""
+        whole, least = self.shape.cores * self.shape.speed, self.shape.start_capacity
+        part = min(1.0, (now - self.started) / self.shape.cold_s) if self.cold else 1.0
+        return whole * (least + (1 - least) * part)
+
+    def _falls(self, now: float, work: float) -> bool:
+        self._work.append((now, work))
+        while self._work[0][0] < now - self.shape.fall_s:
+            self._work.popleft()
+        if not self.cold or now - self.started > self.shape.cold_s + self.shape.fall_s:
+            return False
+        most = self.shape.fall_multiple * self.capacity(now) * self.shape.fall_s
+        return sum(w for _, w in self._work) > most
+
+    # --- requests ---
+    def _request(self, peer: Peer, request: HttpRequest) -> None:
+        if request.target == b"/otterquay/probe":
+            return peer.send(write_response(200, self._headers(request)))
+        now = asyncio.get_running_loop().time()
+        id = request.headers.get(b"x-request-id", b"").decode()
+        tag = request.headers.get(b"otterquay-attempt", b"").decode()
+        work = float(request.headers.get(WORK, b"10")) / 1e3
+        self.tape.add(Arrived(now, id, tag, self.server, self.incarnation, self.build, self.zone, work))
+        if self._falls(now, work + (self.shape.handshake_s if peer.served == 0 else 0.0)):
+            return self.stop()  # it stays down
+        if self.silent:
+            return
+        if self.garbage:
+            return peer.send(b"\x16\x03\x01 this is no answer\r\n\r\n")
+        crowded = len(self.listener.peers) > self.shape.max_connections
+        if self.draining or crowded or len(self.waiting) >= self.shape.queue:
+            self.tape.add(Replied(now, id, tag, self.server, "not_seen"))
+            headers = [NOT_SEEN, *self._headers(request)]
+            return peer.send(write_response(503, headers, b"not seen\n", keep_alive=not crowded))
+        job = _Job(peer, request, id, tag, work + (self.shape.handshake_s if peer.served == 0 else 0.0))
+        peer.lost = lambda: self._left(job)
+        self.waiting.append(job)
+        self._fill()
+
+    def _left(self, job: _Job) -> None:
+        """The agent closed: what waits is dropped, work that runs stops."""
+        if job in self.waiting:
+            self.waiting.remove(job)
+        elif job in self.running and job.timer:
+            job.timer.cancel()
+            self.running.discard(job)
+            self._fill()
+
+    def _fill(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self.waiting and len(self.running) < self.shape.cores and not self._paused and not self.down:
+            job = self.waiting.popleft()
+            self.running.add(job)
+            rate = self.capacity(loop.time()) / self.shape.cores
+            duration = job.work_s / rate * self.slow * self.drag() * self._factor(loop.time())
+            self._effect(job)
+            job.timer = loop.call_later(duration, self._due, job)
+
+    def _factor(self, now: float) -> float:
+        flaw = self.flaw
+        if flaw is None:
+            return 1.0
+        late = flaw.kind == "late" and now - self.started >= flaw.after_s
+        loaded = flaw.kind == "load" and len(self.running) >= flaw.busy * self.shape.cores
+        return flaw.factor if flaw.kind == "slow" or late or loaded else 1.0
+
+    def _effect(self, job: _Job) -> None:
+        headers = job.request.headers
+        key = headers.get(b"idempotency-key", b"").decode()
+        op = headers.get(OPERATION, b"").decode() or job.id
+        now = asyncio.get_running_loop().time()
+        self.tape.add(Ran(now, job.id, op, self.server, bool(key) and self.book.repeat(key, now)))
+
+    def _due(self, job: _Job) -> None:
+        job.timer = None
+        if not self._paused:
+            self._finish(job)
+            self._fill()
+
+    def _bad(self, cls: str) -> bool:
+        """Whether the build fails this request, or answers it wrong."""
+        flaw, now = self.flaw, asyncio.get_running_loop().time()
+        if flaw is None:
+            return False
+        fits = {
+            "errors": True, "wrong": True, "class": cls == flaw.cls, "slow": False, "shared": False,
+            "load": len(self.running) >= flaw.busy * self.shape.cores,
+            "late": now - self.started >= flaw.after_s,
+        }[flaw.kind]
+        return fits and self.rng.random() < flaw.share
+
+    def _finish(self, job: _Job) -> None:
+        self.running.discard(job)
+        self._done += 1
+        if self.down:
+            return
+        job.peer.lost = None
+        bad = self._bad(job.request.headers.get(b"otterquay-class", b"").decode())
+        wrong = bad and self.flaw is not None and self.flaw.kind == "wrong"
+        failed = (bad and not wrong) or self.rng.random() < self.fail_share
+        status = 500 if failed else 200
+        body = b"failed\n" if failed else b"wrong\n" if wrong else b"right\n"
+        answer = write_response(status, self._headers(job.request), body)
+        now = asyncio.get_running_loop().time()
+        self.tape.add(Replied(now, job.id, job.tag, self.server, "error" if failed else "ok"))
+        if self.midway:
+            job.peer.send(answer[:-3])
+            return job.peer.writer.close()
+        job.peer.send(answer * (2 if self.twice else 1))
+
+    def _headers(self, request: HttpRequest) -> list[tuple[bytes, bytes]]:
+        load = {
+            LoadField.UTIL: min(1.0, len(self.running) / self.shape.cores),
+            LoadField.INFLIGHT: float(len(self.running) + len(self.waiting)),
+            LoadField.QUEUE: float(len(self.waiting)),
+            LoadField.QPS: self._done / max(asyncio.get_running_loop().time() - self.started, 1.0),
+        }
+        tag = request.headers.get(b"otterquay-attempt", b"")
+        return [(orca.HEADER, orca.encode(load)), (b"otterquay-attempt", tag)]
