Tests of the running agent in its hard cases; what they found in front and codecs mended

Found and mended: a client that pipelines and never reads could make the agent buffer 20 MB of answers (now its bound and one answer more); requests whole before garbage in the same read were dropped (now answered first); an appliance's surplus answer could meet the next request in the same turn (the connection now closes before the call ends); a fault in the module's code broke the connection. Feeds of agents outside the first zone now cross the faulty link.

--- a/otterquay/agent/back.py
+++ b/otterquay/agent/back.py
@@ -157,12 +157,17 @@
                     if (call := connection.call) and (answer := parser.eof()):
                         self._answered(connection, call, answer)
                     break
-                for answer in answers:
+                if answers:
                     if (call := connection.call) is None:
                         raise ProtocolError(502, "an answer that nobody asked for")
-                    self._answered(connection, call, answer)
-                if answers and connection.call is None and parser.started:
-                    raise ProtocolError(502, "bytes after the answer")
+                    surplus = len(answers) > 1 or parser.started or parser.failed
+                    if surplus:  # before its call ends, as the next one may start in the same turn
+                        self._close(connection)
+                    self._answered(connection, call, answers[0])
+                    if surplus:
+                        raise ProtocolError(502, "bytes after the answer")
+                elif parser.failed or connection.call is None:
+                    raise parser.failed or ProtocolError(502, "an answer that nobody asked for")
         except ProtocolError as error:
             self.log.warning("garbage_from_appliance", address=connection.address, error=error.reason)
             if connection.call:
--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -112,13 +112,17 @@
     keep_alive: bool = True
     idle_since: float = 0.0
     head_since: float | None = None
+    written: int = 0
+    taken_off: int = -1  # bytes that the client had taken off us at the last sweep that saw it take some
     stuck_since: float | None = None
+    resuming: asyncio.Task[None] | None = None
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def answer(self, data: bytes) -> None:
         """Write the final answer to the request that is out."""
         self.number = None
         self.writer.write(data)
+        self.written += len(data)
         if not self.keep_alive:
             self.waiting.clear()
             self.writer.close()
@@ -187,6 +191,8 @@
             self.log.info("client_lost", reason=str(error) or type(error).__name__)
         finally:
             self.clients.discard(client)
+            if client.resuming:
+                client.resuming.cancel()
             if client.number is not None:
                 number, client.number = client.number, None
                 self.taker.abandon(number)
@@ -196,12 +202,10 @@
         bounds, loop = self.service.front, asyncio.get_running_loop()
         parser = RequestParser(bounds.max_head, bounds.max_body)
         while True:
-            if len(client.waiting) >= bounds.max_pipelined:
+            if len(client.waiting) >= bounds.max_pipelined or client.resuming:
                 client.wake.clear()
                 await client.wake.wait()
                 continue
-            if client.writer.transport.get_write_buffer_size() > bounds.max_body:
-                await client.writer.drain()  # it asks, but does not read; the sweep ends that
             data = await reader.read(READ_SIZE)
             if not data:
                 return
@@ -213,10 +217,17 @@
             elif whole or client.head_since is None:
                 client.head_since = client.idle_since
             self.go_on(client)
+            if parser.failed:
+                raise parser.failed
 
     def go_on(self, client: Client) -> None:
-        """Hand on what waits, while nothing is out."""
+        """Hand on what waits, while nothing is out and the client takes its answers off us."""
+        if client.writer.is_closing():
+            client.waiting.clear()  # never taken: nobody is there to answer
         while client.waiting and client.number is None:
+            if client.writer.transport.get_write_buffer_size() > self.service.front.max_body:
+                client.resuming = client.resuming or asyncio.get_running_loop().create_task(self._resume(client))
+                return
             http = client.waiting.popleft()
             client.keep_alive = http.keep_alive and not self.stopping
             try:
@@ -228,13 +239,26 @@
             if self.stopping or not self.taker.take(ask, client):
                 client.answer(refusal("nothing more is taken", client.keep_alive))
 
+    async def _resume(self, client: Client) -> None:
+        try:
+            await client.writer.drain()  # one that never reads is ended by the sweep
+        except OSError:
+            return
+        finally:
+            client.resuming = None
+            client.wake.set()
+        self.go_on(client)
+
     def _sweep(self) -> None:
         """End clients that idle, that never finish a request, or that never read. One timer for all."""
         loop, bounds = asyncio.get_running_loop(), self.service.front
         now = loop.time()
         for client in list(self.clients):
             unsent = client.writer.transport.get_write_buffer_size()
-            client.stuck_since = (client.stuck_since or now) if unsent else None
+            if not unsent or client.written - unsent != client.taken_off:
+                client.taken_off, client.stuck_since = client.written - unsent, None
+            else:
+                client.stuck_since = client.stuck_since or now
             if client.stuck_since and now - client.stuck_since >= bounds.write_timeout / 1e3:
                 self.log.info("client_ended", reason="does not read", unsent=unsent)
                 client.writer.transport.abort()
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -202,7 +202,7 @@
                 try:
                     actions = self._agent.handle(self._now() * 1e3, event)
                 except Exception:
-                    self.log.exception("decision_failed", event=type(event).__name__)
+                    self.log.exception("decision_failed", on=type(event).__name__)
                     self._drop(event)
                     continue
                 for action in actions:
--- a/otterquay/agent/streams.py
+++ b/otterquay/agent/streams.py
@@ -72,6 +72,8 @@
                 if not data:
                     return
                 parser.feed(data)
+                if parser.failed:
+                    raise parser.failed
                 if content and parser.status != 200:
                     raise ProtocolError(502, f"answered {parser.status}")
                 pieces, content[:] = content[:], []
--- a/otterquay/config/load.py
+++ b/otterquay/config/load.py
@@ -124,9 +124,9 @@
     return parse_document(model, text, str(path), overrides)
 
 
-def parse_service(text: str, source: str = "settings") -> Service:
+def parse_service(text: str, source: str = "settings", overrides: Overrides | None = None) -> Service:
     """An agent's settings from HCL text, or ConfigError."""
-    return parse_document(Service, text, source)
+    return parse_document(Service, text, source, overrides)
 
 
 def load_service(path: Path, overrides: Overrides | None = None) -> Service:
--- a/otterquay/lab/world.py
+++ b/otterquay/lab/world.py
@@ -15,6 +15,7 @@
 from otterquay.standins.clients import Clients, Habit
 from otterquay.standins.desk import Desk
 from otterquay.standins.fleet import Fleet, Position
+from otterquay.standins.links import Link
 from otterquay.standins.tape import AgentDown, AgentUp, Tape
 
 SETTLE_S = 1.0  # from the agents' start to the first request
@@ -47,6 +48,7 @@
     clients: Clients = field(init=False)
     agents: list[Host] = field(default_factory=list)
     running: dict[int, str] = field(default_factory=dict)
+    relays: list[Link] = field(default_factory=list)
     burst: float = 1.0
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
@@ -115,13 +117,23 @@
         ports = free_ports(count) if self.service.limits.peers else []
         peers = {str(i): f"127.0.0.1:{port}" for i, port in enumerate(ports)}
         for number, zone in enumerate(self.day.agents.zones):
-            place = Place(number, count, zone, f"http://{fleet_at}", f"http://{desk_at}",
+            feeds = [await self._reach(zone, at) for at in (fleet_at, desk_at)]
+            place = Place(number, count, zone, f"http://{feeds[0]}", f"http://{feeds[1]}",
                           self.seed * 100 + number, peers)
             self.agents.append(self.hosts(place))
         await asyncio.gather(*(self._start_agent(n) for n in range(count)))
         self.clients = self.crowd(self.running)
         await asyncio.sleep(SETTLE_S)
 
+    async def _reach(self, zone: str, address: str) -> str:
+        """List and desk stand in the first zone; from the others they are reached through the link to it."""
+        home = self.fleet.zones[0]
+        if zone == home:
+            return address
+        relay = Link(address, self.fleet.links[zone, home])
+        self.relays.append(relay)
+        return await relay.start()
+
     async def _start_agent(self, number: int) -> None:
         self.tape.add(AgentUp(self._now(), number))
         self.running[number] = await self.agents[number].start()
@@ -138,6 +150,8 @@
             self.clients.close()
         if hasattr(self, "desk"):
             self.desk.close()
+        for relay in self.relays:
+            relay.close()
         if hasattr(self, "fleet"):
             self.fleet.close()
 
--- a/otterquay/protocol/http.py
+++ b/otterquay/protocol/http.py
@@ -49,6 +49,7 @@
 
     def __init__(self, max_head: int, max_body: int) -> None:
         self._max_head, self._max_body = max_head, max_body
+        self.failed: ProtocolError | None = None
         self._fresh()
 
     def _fresh(self) -> None:
@@ -82,10 +83,20 @@
             raise ProtocolError(413, f"content over {self._max_body} bytes")
         self._body.append(data)
 
-
-def _refusal(error: httptools.HttpParserError) -> ProtocolError:
-    cause = error.__context__
-    return cause if isinstance(cause, ProtocolError) else ProtocolError(400, f"malformed HTTP: {error}")
+    def _read(
+        self, parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes, on_upgrade: int
+    ) -> None:
+        """Feed the parser; messages that were whole before the bytes went wrong stay whole."""
+        if self.failed:
+            return
+        try:
+            parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.failed = ProtocolError(on_upgrade, "no protocol upgrade here")
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            self.failed = cause if isinstance(cause, ProtocolError) else ProtocolError(
+                400, f"malformed HTTP: {error}")
 
 
 class RequestParser(_Message):
@@ -112,20 +123,17 @@
         self.started = False
 
     def feed(self, data: bytes) -> list[HttpRequest]:
-        """The requests that these bytes complete; ProtocolError once what came cannot be read on."""
+        """The requests that these bytes complete; `failed` is set once what came cannot be read on."""
         self._done = []
         if not self.started:
             self._line = 0
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise ProtocolError(501, "no protocol upgrade here") from None
-        except httptools.HttpParserError as error:
-            raise _refusal(error) from None
+        self._read(self._parser, data, 501)
+        if self.failed and self.failed.status == 501:
+            self._done.pop()  # what wants another protocol is refused, not served
         if self.started and not self._headers:  # a start line that never ends is not yet counted above
             self._line += len(data)
             if self._line > self._max_head:
-                raise ProtocolError(431, f"start line over {self._max_head} bytes")
+                self.failed = ProtocolError(431, f"start line over {self._max_head} bytes")
         return self._done
 
 
@@ -165,14 +173,9 @@
         self.started = False
 
     def feed(self, data: bytes) -> list[HttpResponse]:
-        """The responses that these bytes complete; ProtocolError for what is no response."""
+        """The responses that these bytes complete; `failed` is set for what is no response."""
         self._done = []
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            raise ProtocolError(502, "an upgrade that nobody asked for") from None
-        except httptools.HttpParserError as error:
-            raise _refusal(error) from None
+        self._read(self._parser, data, 502)
         return self._done
 
     def eof(self) -> HttpResponse | None:
--- a/otterquay/standins/clients.py
+++ b/otterquay/standins/clients.py
@@ -172,4 +172,6 @@
                 if len(answers) > 1 or line.parser.started:
                     self.tape.add(Surplus(asyncio.get_running_loop().time(), "?"))
                 return answers[0]
+            if line.parser.failed:
+                raise line.parser.failed
         return line.parser.eof()
--- a/otterquay/standins/desk.py
+++ b/otterquay/standins/desk.py
@@ -172,13 +172,16 @@
         baked = now - self._running_since >= roll.bake / 1e3
         if s.phase == "trial" and baked and roll.control != "timer" and (
                 self._standing_votes("on") >= roll.on_votes):
+            self._moving = True
             self._later(self._go_on())
 
     async def _go_on(self) -> None:
         s = self.standing
         if s.stage + 1 < len(self.service.rollout.stage):
             self._move(s.stage + 1, "trial")
+            self._running_since, self._moving = math.inf, False
             return await self._staff()
+        self._moving = False
         self._move(s.stage, "released")
         for position in self.fleet.positions:
             for appliance in [a for a in position.held if a.build != s.build and not a.draining]:
--- a/otterquay/standins/fleet.py
+++ b/otterquay/standins/fleet.py
@@ -98,14 +98,15 @@
     dedup_s: float
     zone_of: Callable[[int], str]
     lag_s: float = 0.3
-    reuse_ids: bool = True
     positions: list[Position] = field(default_factory=list)
     flaws: dict[int, Flaw] = field(default_factory=dict)
     links: dict[tuple[str, str], LinkState] = field(default_factory=dict)
     list: FleetList = field(init=False)
     drag: float = 1.0
+    turns_away: bool = True  # whether a draining appliance refuses what is new
     _books: dict[str, DedupBook] = field(default_factory=dict)
     _relays: dict[tuple[str, str], Link] = field(default_factory=dict)
+    _leaving: set[Appliance] = field(default_factory=set)
     _numbers: int = 0
     _incarnations: int = 0
 
@@ -156,7 +157,8 @@
 
     def drain(self, position: Position, appliance: Appliance, end_after_s: float) -> None:
         """Tell the list that it drains; its process turns away what is new and ends after a while."""
-        appliance.draining = True
+        appliance.draining = self.turns_away
+        self._leaving.add(appliance)
         self._tell(position, appliance, "draining")
         loop = asyncio.get_running_loop()
         loop.call_later(end_after_s, self.end, position, appliance, True)
@@ -165,12 +167,13 @@
         """End a process."""
         if appliance in position.held:
             position.held.remove(appliance)
+            self._leaving.discard(appliance)
             appliance.stop(graceful)
             self._tell(position, appliance, "gone")
 
     def newest(self, position: Position) -> Appliance | None:
         """The process at a position that takes work."""
-        ready = [a for a in position.held if not a.down and not a.draining]
+        ready = [a for a in position.held if not a.down and not a.draining and a not in self._leaving]
         return ready[-1] if ready else None
 
     def close(self) -> None:
--- a/otterquay/standins/http.py
+++ b/otterquay/standins/http.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
 
-from otterquay.protocol.http import HttpRequest, ProtocolError, RequestParser, write_response
+from otterquay.protocol.http import HttpRequest, RequestParser, write_response
 from otterquay.protocol.sse import HEARTBEAT, encode_event
 
 
@@ -64,8 +64,10 @@
                 for request in parser.feed(data):
                     self.handler(peer, request)
                     peer.served += 1
-        except (OSError, ProtocolError):
-            pass  # the peer left or spoke no HTTP: the connection ends
+                if parser.failed:
+                    break
+        except OSError:
+            pass  # the peer left
         finally:
             self.peers.discard(peer)
             if peer.lost:
--- a/otterquay/standins/links.py
+++ b/otterquay/standins/links.py
@@ -57,7 +57,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._pipe(reader, far_writer, False))
                 group.create_task(self._pipe(far_reader, writer, True))
-        except (OSError, ExceptionGroup):
+        except (OSError, ExceptionGroup, asyncio.CancelledError):
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
