Auditor tested with each rule's guard out; refusals under a shut build no longer grow with the fleet

Need: for each of the five rules the auditor must report it when its guard is taken out; and a refusal where all servers are on trial asked the gate of every server anew. A scan of all program code holds one clock, one network, no threads.

--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -189,6 +189,8 @@
             client.answer(plain(error.status, error.reason, False))
         except OSError as error:
             self.log.info("client_lost", reason=str(error) or type(error).__name__)
+        except asyncio.CancelledError:
+            pass  # the loop ends, and this task with it
         finally:
             self.clients.discard(client)
             if client.resuming:
--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -138,6 +138,7 @@
         self.baseline = [deque[float](maxlen=BASELINE_BINS * PAIRS_A_BIN) for _ in range(2 * self.n)]
         self.groups: list[list[list[Server]]] = []  # servers not on trial and on trial: near ones, all
         self.even, self.fleet, self.new = 0.0, 1, 0  # trial's even share, servers ready, build on trial
+        self.on_trial = set[int]()  # all builds on trial that ready servers run
         self.bins, self.ranked, self.healed, self.points = 0, -1, 0, deque[float](maxlen=POINTS_MOST)
         # evidence must be whole somewhere: where agents may talk, all tell a few, spread over their numbers
         self.judges = sorted({i * settings.agents // JUDGES for i in range(JUDGES * settings.limits.peers)})
@@ -391,7 +392,8 @@
             server.ok = 1 - (1 - server.ok) * (1 - HEAL) ** (self.bins - self.healed)
         self.ranked = self.healed = self.bins
         groups = [[s for s in ready if (self._cap(s.entry.build) is None) is old] for old in (True, False)]
-        self.new, self.fleet = max((s.entry.build for s in groups[1]), default=0), max(len(ready), 1)
+        self.on_trial, self.fleet = {s.entry.build for s in groups[1]}, max(len(ready), 1)
+        self.new = max(self.on_trial, default=0)
         zone = self.s.zone if self.s.cross_zone_price else -1
         self.groups = [[[s for s in group if s.entry.zone == zone], group] for group in groups]
         old, new = (sum(s.entry.weight * self._able(s) * s.ok for s in group) for group in groups)
@@ -406,15 +408,21 @@
         def fits(server: Server) -> bool:
             return len(server.open) < server.limit * part and self.may_send(job, server)
 
+        # against refusals that cost more than service: where every build on trial is shut, its servers are
+        # not asked one by one; the draws stay as they were. Could harm if the gate differed within a build
+        shut = all(self._shut(job, build) for build in self.on_trial)
         fill = not job.attempts and self.groups[1][1] and self._fill(job)
         for near, every in (groups := self.groups[::-1] if fill else self.groups):
             few = [self.rng.sample(kept, min(DRAWN, len(kept))) for kept in map(self._kept, (near, every))]
+            if shut and every is self.groups[1][1]:
+                continue
             for some in (few, (near, every)):
                 close, can = ([s for s in those if s.ok >= DEAD_OK and s.id not in used and fits(s)]
                               for those in some)
                 if close or can:  # DESIGN: two random choices
                     return min(self.rng.choice(close or can), self.rng.choice(can or close), key=self._cost)
-        can = [s for _, every in groups for s in every if fits(s)]
+        last = [every for _, every in groups if not (shut and every is self.groups[1][1])]
+        can = [s for every in last for s in every if fits(s)]
         return min(self.rng.choice(can), self.rng.choice(can), key=self._cost) if can else None
 
     def _kept(self, group: list[Server]) -> list[Server]:  # few, so that open connections serve again
@@ -511,6 +519,14 @@
         tries = sum(recent(self.tries.get((build, c), []), self.now - span - 2 * tick) for c in classes)
         return tries, sum(recent(self.asked[c], self.now - span + 4 * tick) for c in classes)
 
+    def _shut(self, job: Job, build: int) -> bool:  # rule 5, the same for every server of a build
+        if (cap := self._cap(build)) is None:
+            return False
+        stage, safe = self.news.stage if build == self.news.build else 0, it.Effect.SAFE
+        guarded = stage < self.roll.guarded_stages and self.s.classes[job.cls].effect is not safe
+        tries, asked = self._exposed(build, job.cls, not self.roll.per_class)
+        return cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked
+
     def _age(self, server: Server) -> float:
         return self.now - server.entry.started_ms if server.entry.started_ms > 0 else math.inf
 
@@ -533,12 +549,8 @@
                 cls.scope is it.Scope.CELL and entry.cell != first.cell)
             if cls.effect is it.Effect.KEYED and (away or self.now - ran[0].sent >= cls.repeat_window_ms):
                 return False
-        if (cap := self._cap(entry.build)) is not None:  # rule 5
-            stage = self.news.stage if entry.build == self.news.build else 0
-            guarded = stage < self.roll.guarded_stages and cls.effect is not it.Effect.SAFE
-            tries, asked = self._exposed(entry.build, job.cls, not self.roll.per_class)
-            if cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked:
-                return False
+        if self._shut(job, entry.build):
+            return False
         if self._age(server) < rules.cold_ms + BIN_MS:  # rule 4: by what we sent, not what was asked
             even = recent(self.sent, self.now - rules.fall_ms) / self.fleet
             budget = COLD_PART * rules.fall_multiple * self._able(server) * even
--- a/otterquay/standins/http.py
+++ b/otterquay/standins/http.py
@@ -66,8 +66,8 @@
                     peer.served += 1
                 if parser.failed:
                     break
-        except OSError:
-            pass  # the peer left
+        except (OSError, asyncio.CancelledError):
+            pass  # the peer left, or the loop ends
         finally:
             self.peers.discard(peer)
             if peer.lost:
--- /dev/null
+++ b/tests/test_auditor.py
@@ -0,0 +1,308 @@
+"""The auditor: hand-written tapes for each rule, and whole days with each guard in and out."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import pytest
+from rig import service
+
+from otterquay import interface as it
+from otterquay import rules
+from otterquay.config import Service
+from otterquay.config.load import parse_document
+from otterquay.lab.auditor import RULES, Auditor, Report
+from otterquay.lab.day import Day
+from otterquay.lab.play import Result, inside, play
+from otterquay.standins import tape as tp
+
+CLASSES = {"safe": "lobby-read", "keyed": "queue-join", "unsafe": "race-entry"}
+
+
+class Script:
+    """A tape written by hand: one agent, told that build 1 is released and of servers 1 to 4."""
+
+    def __init__(self) -> None:
+        self.tape = tp.Tape()
+        self.add(tp.AgentUp(0.0, 0), tp.ToldStage(0.1, 0, 1, 0, "released", 1.0))
+        for server in (1, 2, 3, 4):
+            self.add(tp.Started(0.0, server, server, 1, 2.0, False),
+                     tp.ToldServer(0.1, 0, server, "ready", 1, server))
+
+    def add(self, *crossings: Any) -> Script:
+        for crossing in crossings:
+            self.tape.add(crossing)
+        return self
+
+    def ask(self, id: str, at: float, effect: str = "safe", op: str = "", budget: float = 1.0) -> Script:
+        return self.add(tp.Asked(at, id, op or id, 0, CLASSES[effect], "first-studio", "", budget, at))
+
+    def send(self, id: str, at: float, server: int = 1, reply: str | None = "ok", ran: bool = True,
+             zone: str = "north", build: int = 1, work: float = 0.01, incarnation: int = 0) -> Script:
+        tag = f"{id}-{at}"
+        self.add(tp.Arrived(at, id, tag, server, incarnation or server, build, zone, work))
+        if ran:
+            op = next(c.op for c in self.tape.crossings if isinstance(c, tp.Asked) and c.id == id)
+            self.add(tp.Ran(at, id, op, server, False))
+        return self.add(tp.Replied(at + 0.05, id, tag, server, reply)) if reply else self  # type: ignore[arg-type]
+
+    def answer(self, id: str, at: float, kind: str = "served") -> Script:
+        return self.add(tp.Answered(at, id, kind, 200))  # type: ignore[arg-type]
+
+    def judge(self, config: Service | None = None) -> Report:
+        return Auditor(self.tape, config or service(), tolerance_s=0.01).judge()
+
+
+def broken(report: Report) -> set[str]:
+    return {rule for rule, found in report.violations.items() if found}
+
+
+def test_a_life_in_order_breaks_nothing() -> None:
+    script = Script()
+    for i in range(20):
+        script.ask(f"r{i}", 1 + i / 10, "unsafe").send(f"r{i}", 1.01 + i / 10).answer(f"r{i}", 1.1 + i / 10)
+    report = script.judge()
+    assert not report.broken and report.checked["answered"] == 20
+
+
+@pytest.mark.parametrize(("steps", "rule"), [
+    (lambda s: s.ask("a", 1), "answered"),
+    (lambda s: s.ask("a", 1).answer("a", 2.05), "answered"),
+    (lambda s: s.ask("a", 1).answer("a", 1.2).answer("a", 1.3), "answered"),
+    (lambda s: s.ask("a", 1).add(tp.Lost(1.5, "a", True)), "answered"),
+    (lambda s: s.ask("a", 1).add(tp.Left(3.0, "a")), "answered"),
+    (lambda s: s.ask("a", 1).answer("a", 1.1).send("a", 1.3), "answered"),
+    (lambda s: s.ask("a", 1).answer("a", 1.1).add(tp.Surplus(1.2, "a")), "answered"),
+    (lambda s: s.ask("a", 1).send("a", 1.1).add(tp.AgentDown(1.2, 0, "stopped"), tp.Lost(1.2, "a", True)),
+     "answered"),
+    (lambda s: s.ask("a", 1, "unsafe").send("a", 1.1, 1, "error").send("a", 1.2, 2).answer("a", 1.3), "effects"),
+    (lambda s: s.ask("a", 1, "unsafe").send("a", 1.1, 1, None, ran=False).send("a", 1.2, 2).answer("a", 1.3),
+     "effects"),
+    (lambda s: s.ask("a", 1, "unsafe").send("a", 1.1, 1, "error").answer("a", 1.3, "refused"), "effects"),
+    (lambda s: s.ask("a", 1, "keyed").send("a", 1.1, 1, "error").send("a", 1.2, 2, zone="south")
+     .answer("a", 1.3), "effects"),
+    (lambda s: s.ask("a", 1, "keyed", budget=9).send("a", 1.1, 1, "error").send("a", 6.2, 2, ran=False)
+     .answer("a", 6.3), "effects"),
+    (lambda s: s.ask("a", 1, "unsafe", "op").send("a", 1.1).answer("a", 1.2)
+     .ask("b", 2, "unsafe", "op").send("b", 2.1).answer("b", 2.2), "effects"),
+    (lambda s: s.add(tp.ToldServer(1.0, 0, 1, "draining", 1, 1)).ask("a", 3.5).send("a", 3.6).answer("a", 3.7),
+     "drains"),
+    (lambda s: s.add(tp.ToldServer(1.0, 0, 1, "gone", 0, 0)).ask("a", 3.5).send("a", 3.6).answer("a", 3.7),
+     "drains"),
+])
+def test_what_breaks_a_rule_is_reported(steps: Any, rule: str) -> None:
+    assert broken(steps(Script()).judge()) == {rule}
+
+
+@pytest.mark.parametrize("steps", [
+    lambda s: s.ask("a", 1).add(tp.AgentDown(1.2, 0, "killed"), tp.Lost(1.2, "a", True)),
+    lambda s: s.ask("a", 1).add(tp.AgentDown(1.2, 0, "stopped"), tp.Lost(1.2, "a", True)),
+    lambda s: s.ask("a", 1).add(tp.Left(1.4, "a")),
+    lambda s: s.ask("a", 1).answer("a", 2.01, "failed"),
+    lambda s: s.ask("a", 1, "unsafe").send("a", 1.1, 1, "not_seen", ran=False).send("a", 1.2, 2).answer("a", 1.3),
+    lambda s: s.ask("a", 1, "unsafe").send("a", 1.1, 1, "not_seen", ran=False).answer("a", 1.3, "refused"),
+    lambda s: s.ask("a", 1, "keyed").send("a", 1.1, 1, "error").send("a", 1.2, 2, ran=False).answer("a", 1.3),
+    lambda s: s.ask("a", 1).send("a", 1.1, 1, "error").send("a", 1.2, 2, zone="south").answer("a", 1.3, "refused"),
+    lambda s: s.add(tp.ToldServer(1.0, 0, 1, "draining", 1, 1)).ask("a", 2.5).send("a", 2.6).answer("a", 2.7),
+    lambda s: s.add(tp.ToldServer(1.0, 0, 1, "gone", 1, 1), tp.ToldServer(1.5, 0, 1, "ready", 1, 9))
+    .ask("a", 3.5).send("a", 3.6, incarnation=9).answer("a", 3.7),
+])
+def test_what_breaks_no_rule_is_not_reported(steps: Any) -> None:
+    assert not steps(Script()).judge().broken
+
+
+def exposed(script: Script, tries: int, requests: int, at: float = 5.0, build: int = 2) -> Script:
+    """`tries` attempts at a build within a tenth of a second, of `requests` requests just before."""
+    script.add(tp.ToldServer(at - 1, 0, 9, "ready", build, 9))
+    for i in range(requests):
+        id = f"{at}-{i}"
+        script.ask(id, at - 0.1 + i / 1e4)
+        if i < tries:
+            script.send(id, at + i / 1e4, 9, build=build, ran=False)
+        script.answer(id, at + 0.1)
+    return script
+
+
+def test_exposure_counts_attempts_against_the_cap_told() -> None:
+    def trial(cap: float = 0.28) -> Script:
+        return Script().add(tp.ToldStage(3.0, 0, 2, 0, "trial", cap))
+
+    assert not exposed(trial(), 30, 100).judge().broken  # 2 free and 28 of 100
+    assert broken(exposed(trial(), 31, 100).judge()) == {"exposure"}
+    assert broken(exposed(Script(), 31, 100).judge()) == {"exposure"}, "a build not yet told is in stage 0"
+    assert not exposed(Script().add(tp.ToldStage(3.0, 0, 2, 0, "released", 1.0)), 90, 100).judge().broken
+    assert not exposed(Script().add(tp.ToldStage(3.0, 0, 3, 0, "trial", 0.28)), 90, 100).judge().broken
+    late = trial().add(tp.ToldStage(4.0, 0, 2, 0, "going_back", 0.0))
+    assert not exposed(late, 20, 100, at=5.5).judge().broken, "within the grace"
+    late = trial().add(tp.ToldStage(2.9, 0, 2, 0, "going_back", 0.0))
+    assert not exposed(late, 0, 100, at=5.5).judge().broken
+    late = Script().add(tp.ToldStage(2.0, 0, 2, 0, "trial", 1.0), tp.ToldStage(3.0, 0, 2, 0, "going_back", 0.0))
+    assert broken(exposed(late, 1, 100, at=5.5).judge()) == {"exposure"}
+    guarded = service(rollout={"guarded_stages": 1})
+    script = trial().add(tp.ToldServer(4.0, 0, 9, "ready", 2, 9))
+    script.ask("u", 5.0, "unsafe").send("u", 5.01, 9, build=2).answer("u", 5.1)
+    assert broken(script.judge(guarded)) == {"exposure"} and not script.judge().broken
+
+
+def test_a_lower_cap_counts_attempts_afresh_once_it_binds() -> None:
+    script = Script().add(tp.ToldStage(1.0, 0, 2, 0, "trial", 0.84), tp.ToldStage(3.0, 0, 2, 0, "trial", 0.28))
+    exposed(script, 80, 100, at=4.9)  # under the old cap, within the grace
+    exposed(script, 20, 100, at=5.2)  # within the new one, counted from 5.0 on
+    assert not script.judge().broken
+    exposed(script, 80, 100, at=5.4)  # 100 since it bound, of 300 requests in the window
+    assert broken(script.judge()) == {"exposure"}
+
+
+@pytest.mark.parametrize(("work", "told", "falls"), [(0.3, True, True), (0.3, False, False), (0.01, True, False)])
+def test_a_cold_appliance_pushed_over_by_those_told_of_its_start(work: float, told: bool, falls: bool) -> None:
+    script = Script().add(tp.Started(1.0, 9, 9, 1, 2.0, True))
+    if told:
+        script.add(tp.ToldServer(1.1, 0, 9, "ready", 1, 9))
+    for i in range(30):
+        script.ask(f"r{i}", 1.2 + i / 100).send(f"r{i}", 1.2 + i / 100, 9, work=work).answer(f"r{i}", 2.0)
+    assert broken(script.judge()) == ({"cold"} if falls else set())
+
+
+def test_a_tape_survives_its_file() -> None:
+    script = Script().ask("a", 1).send("a", 1.1).answer("a", 1.2)
+    assert tp.Tape.read(script.tape.dump()).crossings == script.tape.crossings
+
+
+# --- whole days with a guard in and out ---
+class NoFinalAnswers(rules.Agent):
+    """Keeps its last word to itself."""
+
+    def handle(self, now: float, event: it.Event) -> list[it.Action]:
+        return [a for a in super().handle(now, event) if not isinstance(a, it.Fail | it.Refuse)]
+
+
+class AllAreSafe(rules.Agent):
+    """Takes every class for safe to repeat."""
+
+    def __init__(self, settings: it.Settings, seed: int) -> None:
+        classes = tuple(replace(c, effect=it.Effect.SAFE) for c in settings.classes)
+        super().__init__(replace(settings, classes=classes), seed)
+
+
+class NeverDrains(rules.Agent):
+    """Does not hear that a server drains."""
+
+    def handle(self, now: float, event: it.Event) -> list[it.Action]:
+        if isinstance(event, it.ServerList):
+            event = replace(event, entries=tuple(
+                replace(e, state=it.ServerState.READY) for e in event.entries))
+        return super().handle(now, event)
+
+
+class NeverCold(rules.Agent):
+    """Takes every server for warm."""
+
+    def _age(self, server: rules.Server) -> float:
+        return 1e9
+
+
+class NoCap(rules.Agent):
+    """Takes every build for released."""
+
+    def _cap(self, build: int) -> float | None:
+        return None
+
+
+TEXT = """
+service = "x"
+duration = "5s"
+fleet {
+  machines = 4
+  list_lag = "100ms"
+  desk_lag = "100ms"
+  start    = "300ms"
+}
+agents {
+  zones   = ["north", "south"]
+  weights = [1, 1]
+}
+traffic {
+  rate = 80
+  retries = 1
+  class "lobby-read" {
+    share = "50%"
+    work_least = "5ms"
+    work_most  = "15ms"
+  }
+  class "queue-join" {
+    share = "25%"
+    work_least = "5ms"
+    work_most  = "15ms"
+  }
+  class "race-entry" {
+    share = "25%"
+    work_least = "5ms"
+    work_most  = "15ms"
+  }
+}
+"""
+SILENT = 'fault {\n kind = "silent_servers"\n at = "1s"\n lasts = "1500ms"\n count = 4\n}\n'
+FAILING = 'fault {\n kind = "fail_servers"\n at = "1s"\n lasts = "2s"\n count = 4\n share = "60%"\n}\n'
+DRAIN = 'fault {\n kind = "drain"\n at = "1s"\n count = 2\n}\n'
+RESTART = 'fault {\n kind = "kill_servers"\n at = "500ms"\n lasts = "300ms"\n count = 1\n}\n'
+OFFER = 'build "2" {\n at = "500ms"\n}\n'
+CASES: dict[str, tuple[type[rules.Agent], str, dict[str, dict[str, Any]]]] = {
+    "answered": (NoFinalAnswers, SILENT, {}),
+    "effects": (AllAreSafe, FAILING, {}),
+    "drains": (NeverDrains, DRAIN, {"rules": {"drain_grace": "300ms"}}),
+    "cold": (NeverCold, RESTART, {"rules": {"start_capacity": "5%", "fall_multiple": 0.3, "cold": "60s"}}),
+    "exposure": (NoCap, OFFER, {"rollout": {"stage": [{"share": "50%", "cap": "10%"}, {"share": "100%", "cap": "100%"}]}}),
+}
+
+
+def patient_drains(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Draining appliances go on serving, so that one that is sent to is not given up by its refusals."""
+    from otterquay.standins.fleet import Fleet
+
+    made = Fleet.__post_init__
+
+    def patched(self: Fleet) -> None:
+        made(self)
+        self.turns_away = False
+
+    monkeypatch.setattr(Fleet, "__post_init__", patched)
+
+
+@pytest.fixture(scope="module")
+def days() -> dict[tuple[str, bool], Result]:
+    """All days, with the guard of each rule in and out, at once in one loop."""
+
+    async def one(rule: str, guarded: bool) -> Result:
+        decider, extra, blocks = CASES[rule]
+        config = service(**blocks)
+        day = parse_document(Day, TEXT + extra)
+        return await play(day, config, 3, inside(config, decider=rules.Agent if guarded else decider))
+
+    async def every() -> dict[tuple[str, bool], Result]:
+        keys = [(rule, guarded) for rule in RULES for guarded in (True, False)]
+        return dict(zip(keys, await asyncio.gather(*(one(*key) for key in keys)), strict=True))
+
+    with pytest.MonkeyPatch.context() as monkeypatch:
+        patient_drains(monkeypatch)
+        return asyncio.run(every())
+
+
+@pytest.mark.parametrize("rule", RULES)
+def test_with_its_guard_taken_out_the_rule_is_seen_broken(days: dict[Any, Result], rule: str) -> None:
+    assert days[rule, False].report.violations[rule]
+
+
+@pytest.mark.parametrize("rule", RULES)
+def test_with_its_guard_in_the_same_day_breaks_nothing(days: dict[Any, Result], rule: str) -> None:
+    report = days[rule, True].report
+    assert not report.broken, report.violations
+    assert report.checked["answered"] > 200 and days[rule, True].summary()["operations_served"] > 100
+
+
+def test_the_auditor_reads_no_log_and_no_state_of_an_agent() -> None:
+    source = (Path(rules.__file__).parent / "lab" / "auditor.py").read_text()
+    assert "otterquay.agent" not in source and "rules" not in [
+        word for line in source.splitlines() if line.startswith(("import", "from")) for word in line.split()]
--- /dev/null
+++ b/tests/test_one_clock.py
@@ -0,0 +1,60 @@
+"""One clock, one network: the program's code may run on a simulated loop, so it touches nothing else."""
+
+from __future__ import annotations
+
+import ast
+from pathlib import Path
+
+import pytest
+
+import otterquay
+
+ROOT = Path(otterquay.__file__).parent
+# these speak to the machine by their job: processes of the laboratory, the command line, free ports for a run
+MACHINE = {"lab/hosts.py", "lab/play.py", "lab/world.py", "cli/root.py", "cli/lab.py", "cli/standin.py"}
+FORBIDDEN = {"time", "threading", "socket", "select", "selectors", "subprocess", "multiprocessing", "datetime",
+             "concurrent", "signal", "secrets", "uuid"}
+BANNED_CALLS = {"to_thread", "run_in_executor", "run_coroutine_threadsafe"}
+SOURCES = sorted(str(p.relative_to(ROOT)) for p in ROOT.rglob("*.py"))
+
+
+def faults(source: str, machine: bool = False) -> list[str]:
+    found = []
+    for node in ast.walk(ast.parse(source)):
+        names: list[str] = []
+        if isinstance(node, ast.Import):
+            names = [a.name.split(".")[0] for a in node.names]
+        elif isinstance(node, ast.ImportFrom) and node.module:
+            names = [node.module.split(".")[0]]
+        if not machine:
+            found += [f"import {n}" for n in names if n in FORBIDDEN]
+        if isinstance(node, ast.Attribute):
+            owner = node.value.id if isinstance(node.value, ast.Name) else ""
+            if owner == "random" and node.attr != "Random":
+                found.append(f"random.{node.attr}")
+            if node.attr in BANNED_CALLS or (owner == "time" and node.attr == "time"):
+                found.append(node.attr)
+    return found
+
+
+@pytest.mark.parametrize("path", SOURCES)
+def test_no_other_clock_network_or_chance(path: str) -> None:
+    assert not faults((ROOT / path).read_text(), path in MACHINE)
+
+
+@pytest.mark.parametrize("source", [
+    "import time", "from time import monotonic", "import threading", "import random\nrandom.random()",
+    "import socket", "loop.run_in_executor(None, f)", "asyncio.to_thread(f)", "import datetime",
+])
+def test_the_scan_finds_what_it_is_for(source: str) -> None:
+    assert faults(source)
+
+
+def test_the_bench_adapter_stays_light() -> None:
+    import subprocess
+    import sys
+
+    code = ("import sys, otterquay.benchlink.__main__, otterquay.rules\n"
+            "heavy = {'pydantic', 'hcl2', 'structlog', 'click', 'httptools', 'msgspec', 'asyncio', 'blake3'}\n"
+            "sys.exit(bool(heavy & set(sys.modules)))")
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT.parent, check=False).returncode == 0
