--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -296,7 +296,8 @@
         self.counts[kind] += 1
         client.answer(data)
         self._forget(held)
-        self.front.go_on(client)
+        if client.waiting:
+            self.front.go_on(client)
 
     def _send(self, request: int, server: int, until_ms: float) -> None:
         held = self.held.get(request)
@@ -336,8 +337,8 @@
         latency = (self._now() - call.started) * 1e3
         client = held.client
         if meaning.status is it.Status.OK and client is not None and answer is not None:
-            headers = [item for item in answer.headers.items() if item[0] not in UNANSWERED_SKIPPED]
-            headers.append((ANSWER, b"served"))
+            headers = [(ANSWER, b"served")]
+            headers += [item for item in answer.headers.items() if item[0] not in UNANSWERED_SKIPPED]
             # the module hears of it before the client's next request is taken
             held.client = None
             self.counts["served"] += 1
@@ -346,7 +347,7 @@
         if over:
             self._forget(held)
         self.post(it.Outcome(held.number, server, attempt, meaning.status, latency, over, load))
-        if over and client is not None:
+        if client is not None and client.waiting:
             self.front.go_on(client)
 
     # --- probes ---
--- a/otterquay/cli/root.py
+++ b/otterquay/cli/root.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import random
 import secrets
 import signal
@@ -10,6 +11,7 @@
 from pathlib import Path
 
 import click
+import uvloop
 
 from otterquay.agent.runtime import FileCache, Runtime
 from otterquay.cli.lab import demo, lab
@@ -80,11 +82,12 @@
 @click.option("--seed", type=int, help="Seed of all chance; drawn from the system when not given.")
 @click.option("--log-level", type=click.Choice(["debug", "info", "warning", "error"]), default="info")
 @click.option("--log-form", type=click.Choice(["json", "console"]), default="json")
+@click.option("--loop", type=click.Choice(["uvloop", "asyncio"]), default="uvloop", show_default=True)
 @click.option("--announce", is_flag=True, help="Print `listening HOST:PORT` on standard output once ready.")
 def agent(
     file: Path, number: int | None, count: int | None, zone: str | None, listen: str | None,
     fleet: str | None, desk: str | None, peers: tuple[str, ...], peer_key: Path | None, cache: Path | None,
-    seed: int | None, log_level: str, log_form: str, announce: bool,
+    seed: int | None, log_level: str, log_form: str, loop: str, announce: bool,
 ) -> None:
     """Run an agent with the settings in FILE until SIGTERM or SIGINT; it then answers all it holds and ends."""
     address = dict(item.partition("=")[::2] for item in peers) or None
@@ -108,17 +111,20 @@
     runtime = Runtime(service, rng, log, key, FileCache(path, log) if path else None)
 
     async def run() -> None:
-        loop, ended = asyncio.get_running_loop(), asyncio.Event()
+        ended = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, ended.set)
+            asyncio.get_running_loop().add_signal_handler(number, ended.set)
         host, port = await runtime.start()
         if announce:
             click.echo(f"listening {host}:{port}")
         await ended.wait()
         await runtime.stop()
 
+    gc.collect()
+    gc.freeze()  # what the program is made of need not be looked through again for each thousand requests
     try:
-        asyncio.run(run())
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop if loop == "uvloop" else None) as runner:
+            runner.run(run())
     except OSError as error:
         raise click.ClickException(f"cannot start: {error}") from None
 
--- a/otterquay/logs.py
+++ b/otterquay/logs.py
@@ -25,12 +25,13 @@
         logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=False,
     )
-    return structlog.get_logger(**bound)
+    return structlog.get_logger().bind(**bound)  # bound now, not anew at every line
 
 
 def silent() -> Logger:
     """A logger that drops everything, for tests and measurements."""
-    return structlog.wrap_logger(None, processors=[_drop], wrapper_class=structlog.BoundLogger)
+    silence = structlog.make_filtering_bound_logger(logging.CRITICAL)
+    return structlog.wrap_logger(None, processors=[_drop], wrapper_class=silence).bind()
 
 
 def _drop(_: Any, __: str, ___: Any) -> Any:
--- a/otterquay/protocol/http.py
+++ b/otterquay/protocol/http.py
@@ -187,23 +187,15 @@
     method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes = b""
 ) -> bytes:
     """A whole request with its content-length."""
-    lines = [method, b" ", target, b" HTTP/1.1\r\n"]
-    for name, value in headers:
-        lines += (name, b": ", value, b"\r\n")
-    lines.append(b"content-length: %d\r\n\r\n" % len(body))
-    lines.append(body)
-    return b"".join(lines)
+    head = b"".join([b"%b: %b\r\n" % header for header in headers])
+    return b"%b %b HTTP/1.1\r\n%bcontent-length: %d\r\n\r\n%b" % (method, target, head, len(body), body)
 
 
 def write_response(
     status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes = b"", keep_alive: bool = True
 ) -> bytes:
     """A whole response with its content-length."""
-    lines = [b"HTTP/1.1 %d %s\r\n" % (status, PHRASES.get(status, b"Unknown"))]
-    for name, value in headers:
-        lines += (name, b": ", value, b"\r\n")
-    if not keep_alive:
-        lines.append(b"connection: close\r\n")
-    lines.append(b"content-length: %d\r\n\r\n" % len(body))
-    lines.append(body)
-    return b"".join(lines)
+    head = b"".join([b"%b: %b\r\n" % header for header in headers])
+    close = b"" if keep_alive else b"connection: close\r\n"
+    return b"HTTP/1.1 %d %b\r\n%b%bcontent-length: %d\r\n\r\n%b" % (
+        status, PHRASES.get(status, b"Unknown"), head, close, len(body), body)
--- a/tests/test_auditor.py
+++ b/tests/test_auditor.py
@@ -254,7 +254,8 @@
     "effects": (AllAreSafe, FAILING, {}),
     "drains": (NeverDrains, DRAIN, {"rules": {"drain_grace": "300ms"}}),
     "cold": (NeverCold, RESTART, {"rules": {"start_capacity": "5%", "fall_multiple": 0.3, "cold": "60s"}}),
-    "exposure": (NoCap, OFFER, {"rollout": {"stage": [{"share": "50%", "cap": "10%"}, {"share": "100%", "cap": "100%"}]}}),
+    "exposure": (NoCap, OFFER, {"rollout": {"stage": [
+        {"share": "50%", "cap": "10%"}, {"share": "100%", "cap": "100%"}]}}),
 }
 
 
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,153 @@
+"""The command line as users meet it: exit codes, words, whole processes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from rig import EXAMPLE, run
+
+from otterquay.cli import main
+from otterquay.lab import play as play_module
+from otterquay.lab.auditor import Report
+
+EXAMPLES = EXAMPLE.parent
+
+
+def call(*words: str) -> tuple[int, str]:
+    result = CliRunner().invoke(main, list(words))
+    return result.exit_code, result.output
+
+
+def test_every_command_has_help() -> None:
+    for words in ([], ["agent"], ["config"], ["config", "check"], ["lab", "play"], ["standin", "appliance"],
+                  ["standin", "link"], ["standin", "world"], ["standin", "clients"], ["demo"]):
+        code, text = call(*words, "--help")
+        assert code == 0 and "Usage:" in text and len(text.splitlines()) > 5
+
+
+def test_config_check_and_show(tmp_path: Path) -> None:
+    assert call("config", "check", str(EXAMPLE)) == (0, f"{EXAMPLE}: fine\n")
+    code, text = call("config", "show", str(EXAMPLE))
+    shown = json.loads(text)
+    assert code == 0 and shown["class"]["race-entry"]["aim"] == 800 and shown["limits"]["keepalive"] == 15000
+    bad = tmp_path / "bad.hcl"
+    bad.write_text(EXAMPLE.read_text().replace('"800ms"', "800"))
+    code, text = call("config", "check", str(bad))
+    assert code == 2 and "class.race-entry.aim: 800 is no duration" in text
+    code, text = call("agent", str(bad))
+    assert code == 2 and "is no duration" in text
+    code, text = call("agent", str(EXAMPLE), "--zone", "moon")
+    assert code == 2 and "is none of zones" in text
+
+
+SHORT = """service = "agent.hcl"
+duration = "4s"
+fleet {
+  machines = 4
+}
+agents {
+  zones = ["north", "south"]
+  weights = [2, 1]
+}
+traffic {
+  rate = 60
+  class "lobby-read" {
+    share = "60%"
+    work_least = "5ms"
+    work_most = "15ms"
+  }
+  class "race-entry" {
+    share = "40%"
+    work_least = "5ms"
+    work_most = "15ms"
+  }
+}
+fault {
+  kind  = "kill_agent"
+  at    = "1s"
+  lasts = "300ms"
+  agent = 0
+}
+fault {
+  kind  = "stop_agent"
+  at    = "2s"
+  lasts = "300ms"
+  agent = 1
+}
+fault {
+  kind  = "pause_agent"
+  at    = "3s"
+  lasts = "500ms"
+  agent = 0
+}
+"""
+
+
+def test_a_short_day_with_agents_in_processes_that_are_killed_stopped_and_paused(tmp_path: Path) -> None:
+    (tmp_path / "day.hcl").write_text(SHORT)
+    (tmp_path / "agent.hcl").write_text(EXAMPLE.read_text())
+
+    async def work() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "otterquay", "lab", "play", str(tmp_path / "day.hcl"), "--json",
+            "--report", str(tmp_path / "report"), stdout=asyncio.subprocess.PIPE)
+        out, _ = await process.communicate()
+        found = json.loads(out)
+        assert process.returncode == 0 and set(found["violations"].values()) == {0}
+        assert found["requests"] > 100 and found["answers"]["served"] > 50
+        assert set(found["latency_ms"]) == {"lobby-read", "race-entry"}
+        assert (tmp_path / "report" / "tape.jsonl").stat().st_size > 10000
+        lines = (tmp_path / "report" / "agent-1.log").read_text().splitlines()
+        events = [json.loads(line)["event"] for line in lines]
+        assert events.count("agent_started") == 2 and events.count("agent_stopped") == 2
+    run(work)
+
+
+def test_a_day_with_a_violation_ends_with_1(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def broken(*_: object, **__: object) -> play_module.Result:
+        report = Report()
+        report.violations["effects"].append("op1: took effect 2 times")
+        return play_module.Result(play_module.tp.Tape(), report)
+
+    monkeypatch.setattr("otterquay.cli.lab.play_with_processes", broken)
+    code, text = call("lab", "play", str(EXAMPLES / "bad-day.hcl"))
+    assert code == 1 and "took effect 2 times" in text
+    code, text = call("lab", "play", str(EXAMPLE))
+    assert code == 2 and "unknown key" in text
+
+
+@pytest.mark.parametrize("loop", ["uvloop", "asyncio"])
+def test_an_agent_process_ends_in_good_order_on_a_signal(loop: str) -> None:
+    async def work() -> None:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "otterquay", "agent", str(EXAMPLE), "--listen", "127.0.0.1:0", "--announce",
+            "--loop", loop, "--fleet", "http://127.0.0.1:9", "--desk", "http://127.0.0.1:9",
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        assert process.stdout and process.stderr
+        said = (await process.stdout.readline()).decode().split()
+        reader, writer = await asyncio.open_connection(*said[1].split(":"))
+        process.send_signal(signal.SIGTERM)
+        _, err = await process.communicate()
+        assert process.returncode == 0 and await reader.read() == b""
+        assert json.loads(err.splitlines()[-1])["event"] == "agent_stopped"
+        writer.close()
+    run(work)
+
+
+def test_an_agent_that_cannot_have_its_address_says_so() -> None:
+    async def work() -> None:
+        taken = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        port = taken.sockets[0].getsockname()[1]
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "otterquay", "agent", str(EXAMPLE), "--listen", f"127.0.0.1:{port}",
+            stderr=asyncio.subprocess.PIPE)
+        _, err = await process.communicate()
+        assert process.returncode == 1 and b"cannot start" in err
+        taken.close()
+    run(work)
