--- a/otterquay/chat/gateway.py
+++ b/otterquay/chat/gateway.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -52,7 +53,8 @@
             if data:
                 self.writer.write(data)
             elif self.writer.can_write_eof() and not self.writer.is_closing():
-                self.writer.write_eof()
+                with contextlib.suppress(OSError):  # the peer may have gone first
+                    self.writer.write_eof()
 
     def send(self, data: bytes) -> None:
         """Send a text message; nothing once the connection closes."""
@@ -94,8 +96,15 @@
         elif frame.opcode in (Opcode.TEXT, Opcode.CONT):
             self._parts.append(bytes(frame.data))
             if frame.fin:
-                self._whole.append(b"".join(self._parts))
+                text = b"".join(self._parts)
                 self._parts.clear()
+                try:
+                    text.decode()
+                except UnicodeDecodeError:  # RFC 6455 section 8.1; the library leaves it to its caller
+                    self.protocol.fail(1007, "not UTF-8")
+                    self.flush()
+                else:
+                    self._whole.append(text)
 
 
 class Player:
--- a/otterquay/chat/grammar.py
+++ b/otterquay/chat/grammar.py
@@ -68,8 +68,8 @@
     try:
         typed = _PARSER.parse(text)
     except UnexpectedInput as error:
-        column = getattr(error, "column", 0)
-        raise Mistyped("not a command", column if column and column > 0 else len(text) + 1) from None
+        ended = getattr(getattr(error, "token", None), "type", "") == "$END"
+        raise Mistyped("not a command", len(text) + 1 if ended else max(error.column, 1)) from None
     except LarkError as error:
         raise Mistyped(str(error).splitlines()[0], 1) from None
     assert isinstance(typed, Typed)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -20,7 +20,7 @@
     found = sorted(EXAMPLE.parent.glob("*.hcl"))
     assert len(found) >= 3
     for path in found:
-        load_day(path) if path.stem.endswith("day") else load_service(path)
+        load_day(path) if path.stem.endswith(("day", "night")) else load_service(path)
 
 
 def test_the_modules_settings_are_what_the_file_says() -> None:
