--- a/otterquay/agent/back.py
+++ b/otterquay/agent/back.py
@@ -71,7 +71,7 @@
         free = self.idle.get(address)
         while free:
             connection = free.pop()
-            if not connection.closed and not connection.reader.at_eof():
+            if not (connection.closed or connection.reader.at_eof() or connection.writer.is_closing()):
                 self._write(connection, call)
                 return call
         call.task = loop.create_task(self._connect(call))
@@ -172,8 +172,8 @@
             self.log.warning("garbage_from_appliance", address=connection.address, error=error.reason)
             if connection.call:
                 self._end(connection.call, End.GARBAGE)
-        except OSError:
-            pass  # a reset: what it means for a call that is out is told below
+        except (OSError, RuntimeError):
+            pass  # a reset (uvloop may call it the latter): what it means for a call that is out is told below
         finally:
             if connection.call:
                 self._end(connection.call, End.CLOSED)
--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -161,7 +161,8 @@
     def answer(self, data: bytes) -> None:
         """Write the final answer to the request that is out."""
         self.number = None
-        self.writer.write(data)
+        if not self.writer.is_closing():  # it may have gone in this turn; not every loop takes such a write
+            self.writer.write(data)
         self.written += len(data)
         if not self.keep_alive:
             self.waiting.clear()
@@ -227,7 +228,7 @@
                 await client.wake.wait()
             client.keep_alive = False
             client.answer(plain(error.status, error.reason, False))
-        except OSError as error:
+        except (OSError, RuntimeError) as error:  # uvloop calls a connection that has gone the latter
             self.log.info("client_lost", reason=str(error) or type(error).__name__)
         except asyncio.CancelledError:
             pass  # the loop ends, and this task with it
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -221,7 +221,10 @@
                     self._drop(event)
                     continue
                 for action in actions:
-                    self._act(action)
+                    try:
+                        self._act(action)
+                    except Exception:  # one action's fault costs no other its turn
+                        self.log.exception("action_failed", action=type(action).__name__)
         finally:
             self._feeding = False
 
@@ -352,7 +355,7 @@
     def _done(
         self, held: Held, server: int, attempt: int, call: Call, end: End, answer: HttpResponse | None
     ) -> None:
-        del held.calls[attempt]
+        held.calls.pop(attempt, None)
         held.last = end
         meaning = TABLE[end]
         if meaning.status is not it.Status.OK:
--- a/otterquay/chat/gateway.py
+++ b/otterquay/chat/gateway.py
@@ -50,9 +50,11 @@
     def flush(self) -> None:
         """Write what the protocol has ready."""
         for data in self.protocol.data_to_send():
+            if self.writer.is_closing():
+                continue
             if data:
                 self.writer.write(data)
-            elif self.writer.can_write_eof() and not self.writer.is_closing():
+            elif self.writer.can_write_eof():
                 with contextlib.suppress(OSError):  # the peer may have gone first
                     self.writer.write_eof()
 
@@ -248,8 +250,8 @@
                 await self._converse(conn, wire)
         except TimeoutError:
             self._log.info("chat_handshake_slow")
-        except (OSError, asyncio.CancelledError):
-            pass  # the client or the loop has gone
+        except (OSError, RuntimeError, asyncio.CancelledError):
+            pass  # the client (RuntimeError: in uvloop's words) or the loop has gone
         finally:
             if self._wires.pop(conn, None):
                 self.feed(hb.Closed(conn))
@@ -338,8 +340,8 @@
                 far.flush()
                 if far.protocol.state is State.CLOSED:
                     break
-        except OSError:
-            pass
+        except (OSError, RuntimeError):
+            pass  # uvloop calls a connection that has gone the latter
         finally:
             far.writer.close()
             if self._relays.pop(conn, None):  # the holder has ended: the client comes back and learns more
--- a/otterquay/chat/hub.py
+++ b/otterquay/chat/hub.py
@@ -176,8 +176,7 @@
     role: Role
     conn: int | None
     bucket: Bucket
-    secret: int = 0
-    before: int = 0  # the secret before, good until the client has shown that it has the new one
+    secrets: list[int] = field(default_factory=list)  # the last one shown to be in use, and those given since
     detached: float = 0.0
     entries: OrderedDict[str, Entry] = field(default_factory=OrderedDict)
     retired: OrderedDict[str, None] = field(default_factory=OrderedDict)  # ids of answers no longer kept
@@ -195,9 +194,11 @@
     session: Session | None = None
     resuming: ms.ResumeHello | None = None
     token: Resume | None = None
+    secret: int = 0
 
 
 HELP = "status, votes, follow"
+UNSHOWN = 16  # tokens of a session that are good at once
 RETIRED = 16  # ids of dropped answers that a session remembers, for each answer that it may keep
 
 
@@ -310,7 +311,7 @@
                 case ms.ResumeHello():
                     return self._resume(conn, line, message)
             return self._say(conn, ms.Problem("no_session", "say hello first"))
-        session.before = 0
+        session.secrets = [line.secret]  # the client has this connection's welcome
         match message:
             case ms.Command():
                 self._command(conn, session, message)
@@ -346,9 +347,10 @@
         return session
 
     def _attach(self, conn: int, line: _Line, session: Session, resumed: bool) -> None:
-        line.session, session.conn = session, conn
-        session.before, session.secret = session.secret, self._rng.getrandbits(63) + 1
-        token = seal(self._key, Resume(self._me, self._life, session.id, session.secret, session.tenant,
+        line.session, session.conn, line.secret = session, conn, self._rng.getrandbits(63) + 1
+        # welcomes may be lost, and two returns at once may cross: which one the client has is not yet known
+        session.secrets = [*session.secrets[:1], *session.secrets[1:][2 - UNSHOWN:], line.secret]
+        token = seal(self._key, Resume(self._me, self._life, session.id, line.secret, session.tenant,
                                        session.name, session.role))
         self._say(conn, ms.Welcome(token, resumed, int(self._s.resume_within), self._s.max_open))
 
@@ -364,7 +366,7 @@
         session = self._sessions.get(token.session) if token.life == self._life else None
         if session is None:
             return self._orphan(conn, line, token, message)
-        if token.secret not in (session.secret, session.before) or not token.secret:
+        if token.secret not in session.secrets:
             self._say(conn, ms.Problem("stale_token", "a later token was given"))
             return self._shut(conn, ms.BAD_TOKEN, "stale token")
         if session.conn is not None:  # the newest socket holds the session
--- a/otterquay/lab/chat.py
+++ b/otterquay/lab/chat.py
@@ -22,6 +22,7 @@
     people: int = 200
     pause_s: float = 1.0
     fault_share: float = 0.3
+    patience_s: float = 5.0  # past the longest deadline, how long clients wait for what is open
     chatters: list[Chatter] = field(default_factory=list)
 
     async def _traffic(self) -> None:
@@ -33,7 +34,7 @@
             own = random.Random(rng.getrandbits(64))
             self.chatters.append(Chatter(number, self.tape, own, self.chat, self.running, tenant,
                                          tuple(self.service.chat.command), self.fault_share))
-        patience = max(c.deadline for c in self.service.class_.values()) / 1e3 + 5.0
+        patience = max(c.deadline for c in self.service.class_.values()) / 1e3 + self.patience_s
         until = loop.time() + self.day.duration / 1e3
         await asyncio.gather(*(c.run(until, self.pause_s, patience) for c in self.chatters))
 
--- a/otterquay/lab/world.py
+++ b/otterquay/lab/world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+import secrets
 import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -22,12 +23,17 @@
 
 
 def free_ports(count: int, kind: socket.SocketKind = socket.SOCK_DGRAM) -> list[int]:
-    """Ports that were free a moment ago."""
-    sockets = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [int(one.getsockname()[1]) for one in sockets]
-    for one in sockets:
+    """Ports that were free a moment ago, below those that the system hands out by itself."""
+    held: list[socket.socket] = []
+    while len(held) < count:
+        one = socket.socket(socket.AF_INET, kind)
+        try:
+            one.bind(("127.0.0.1", 20000 + secrets.randbelow(12000)))
+            held.append(one)
+        except OSError:
+            one.close()
+    ports = [int(one.getsockname()[1]) for one in held]
+    for one in held:
         one.close()
     return ports
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -9,13 +9,15 @@
 
 import msgspec
 import pytest
+import uvloop
 from rig import Rig, kind, raw, right, run, service, silent_server
 
 from otterquay import interface as it
+from otterquay.agent.front import Ask, Final
 from otterquay.agent.outcomes import TABLE, End
 from otterquay.lab.hosts import MemoryCache
 from otterquay.protocol import news
-from otterquay.protocol.http import write_request, write_response
+from otterquay.protocol.http import HttpRequest, write_request, write_response
 from otterquay.protocol.sse import encode_event
 from otterquay.rules import UNRUN
 
@@ -112,6 +114,38 @@
     run(work)
 
 
+@pytest.mark.parametrize("loop", [uvloop.new_event_loop, asyncio.new_event_loop])
+def test_a_connection_that_went_in_this_turn_loses_no_request(loop: Any) -> None:
+    """Under uvloop a write to it raises: requests were held and never answered."""
+    async def work() -> None:
+        async with Rig(servers=1) as rig:
+            for _ in range(3):
+                assert kind(await rig.get("race-entry")) == "served"
+                await rig.until(lambda: any(rig.runtime.pool.idle.values()))
+                idle = next(iter(rig.runtime.pool.idle.values()))
+                idle[-1].writer.transport.abort()  # gone, and in the same turn a request wants it
+                ended: list[Final] = []
+                http = HttpRequest(b"POST", b"/x", {}, b"", True)
+                rig.runtime.take(Ask(http, 2, 0, b"", 900.0, None, False), Stub(ended))
+                await rig.until(lambda e=ended: e)
+                assert ended[0].kind == "served"
+            assert not rig.runtime.held
+    with asyncio.Runner(loop_factory=loop) as runner:
+        runner.run(work())
+
+
+class Stub:
+    """An asker that keeps its answers."""
+
+    def __init__(self, answers: list[Final]) -> None:
+        self.number: int | None = None
+        self.final = answers.append
+
+    def attempt(self, count: int) -> None: ...
+
+    def settled(self) -> None: ...
+
+
 def test_a_late_reply_after_the_time_out_reaches_nobody() -> None:
     async def work() -> None:
         async with Rig(servers=1) as rig:
--- a/tests/test_chat_gateway.py
+++ b/tests/test_chat_gateway.py
@@ -34,7 +34,7 @@
 
     def __init__(self, servers: int = 2, **chat: Any) -> None:
         assert SERVICE.chat
-        port = f"127.0.0.1:{free_ports(1)[0]}"
+        port = f"127.0.0.1:{free_ports(1, socket.SOCK_STREAM)[0]}"
         self.changes = {"listen": port, **chat}
         super().__init__(servers, SERVICE.model_copy(update={
             "chat": SERVICE.chat.model_copy(update=self.changes)}))
@@ -431,6 +431,9 @@
     class Silent:
         def write(self, data: bytes) -> None: ...
 
+        def is_closing(self) -> bool:
+            return False
+
         def can_write_eof(self) -> bool:
             return False
 
--- a/tests/test_chat_hub.py
+++ b/tests/test_chat_hub.py
@@ -153,6 +153,13 @@
     assert desk.shut[conn] == ms.TAKEN_OVER
     two, told = desk.back(token, "c1")  # its first welcome may have been lost: still good
     assert told[0].resumed and desk.shut[one] == ms.TAKEN_OVER
+    for _ in range(3):  # any number of welcomes may be lost in a row
+        two, told = desk.back(token, "c1")
+        assert told[0].resumed
+    crossed = desk.token(two)
+    two, _ = desk.back(token, "c1")  # a second return with the old token takes it over from the new one
+    two, told = desk.back(crossed, "c1")
+    assert told[0].resumed, "the client that has the new token was not locked out"
     desk.finish()
     assert [isinstance(m, ms.Answer) for m in desk.told[two]].count(True) == 1
     assert not any(isinstance(m, ms.Answer) for m in desk.told[one])
--- /dev/null
+++ b/tests/test_chat_night.py
@@ -0,0 +1,126 @@
+"""Whole chat nights: ten seeds of 200 clients, and nights with a guard taken out, which the judge must report."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from dataclasses import replace
+from typing import Any
+
+import pytest
+from rig import EXAMPLE, run
+
+from otterquay import interface as it
+from otterquay import rules
+from otterquay.chat import hub as hb
+from otterquay.chat import messages as ms
+from otterquay.lab.chat import ChatWorld, judge, unsafe_commands
+from otterquay.lab.day import FaultPlan, load_day
+from otterquay.lab.play import inside
+
+NIGHT = EXAMPLE.parent / "chat-night.hcl"
+SEEDS = range(1, 11)
+
+
+def test_ten_nights_of_two_hundred_clients_with_agents_in_processes() -> None:
+    async def work() -> None:
+        slots = asyncio.Semaphore(5)
+
+        async def night(seed: int) -> dict[str, Any]:
+            async with slots:
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "otterquay", "lab", "chat", "--clients", "200", "--seed", str(seed),
+                    "--seconds", "5", "--json", stdout=asyncio.subprocess.PIPE)
+                out, _ = await process.communicate()
+                return json.loads(out)  # type: ignore[no-any-return]
+
+        for seed, found in zip(SEEDS, await asyncio.gather(*map(night, SEEDS)), strict=True):
+            assert found["violations"] == [], (seed, found["violations"][:5])
+            assert found["commands"] > 500 and found["answers"] + found["not_taken"] == found["commands"]
+            assert found["entry_spent_twice"] == found["answered_twice"] == found["unanswered"] == 0
+            assert found["resumed"] > 50 and found["entry_spends"] > 150
+            assert found["answered_served"] > 0.9 * found["commands"]
+    run(work)
+
+
+class ForgetsIds(hb.Hub):
+    """Takes an id sent again for a new command."""
+
+    def _command(self, conn: int, session: hb.Session, message: ms.Command) -> None:
+        session.entries.pop(message.id, None)
+        super()._command(conn, session, message)
+
+
+class KeepsNoAnswers(hb.Hub):
+    """Tells an answer to the socket that is there, or to nobody."""
+
+    def _finished(self, event: hb.Finished) -> None:
+        if found := self._refs.get(event.ref):
+            session, entry = found
+            lost = session.conn is None
+            super()._finished(event)
+            if lost:
+                entry.acked = True
+
+
+class SilentOnLoss(hb.Hub):
+    """Says nothing of commands that went with an agent."""
+
+    def _orphan(self, conn: int, line: Any, token: Any, message: ms.ResumeHello) -> None:
+        super()._orphan(conn, line, token, ms.ResumeHello(message.token, []))
+
+
+class RunsAgain(hb.Hub):
+    """Takes what went with an agent for never run."""
+
+    def _orphan(self, conn: int, line: Any, token: Any, message: ms.ResumeHello) -> None:
+        session = self._begin(conn, line, token.tenant, token.name, token.role)
+        for id in message.open if session else ():
+            self._say(conn, ms.Problem("not_here", "", id))
+
+
+class AllAreSafe(rules.Agent):
+    """Takes every class for safe to repeat."""
+
+    def __init__(self, settings: it.Settings, seed: int) -> None:
+        classes = tuple(replace(c, effect=it.Effect.SAFE) for c in settings.classes)
+        super().__init__(replace(settings, classes=classes), seed)
+
+
+GUARDS: dict[str, tuple[Any, Any, str]] = {
+    "whole": (hb.Hub, rules.Agent, ""),
+    "an id is one command": (ForgetsIds, rules.Agent, "spent 2 times"),
+    "answers are kept": (KeepsNoAnswers, rules.Agent, "got no final answer"),
+    "loss is told": (SilentOnLoss, rules.Agent, "got no final answer"),
+    "what was lost never runs again": (RunsAgain, rules.Agent, "spent 2 times"),
+    "race-entry is unsafe": (hb.Hub, AllAreSafe, "spent"),
+}
+
+
+@pytest.fixture(scope="module")
+def nights() -> dict[str, list[str]]:
+    """A night for each guard taken out, one after the other in this process."""
+    day, service = load_day(NIGHT)
+    slow, kill = (FaultPlan.model_validate(plan) for plan in (  # so that much is open at the kill
+        {"kind": "slow_servers", "at": "1s", "lasts": "1200ms", "count": 8, "factor": 60},
+        {"kind": "kill_agent", "at": "1600ms", "lasts": "300ms", "agent": 0}))
+    day = day.model_copy(update={"duration": 2500.0, "fault": [slow, kill], "build": {}})
+    found = {}
+    for name, (hub, decider, _) in GUARDS.items():
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr("otterquay.chat.gateway.hb.Hub", hub)
+            world = ChatWorld(day, service, 5, inside(service, decider=decider), people=150, pause_s=0.5,
+                              fault_share=0.5, patience_s=1.0)
+            asyncio.run(world.run())
+        found[name] = judge(world.tape, unsafe_commands(service))["violations"]
+    return found
+
+
+@pytest.mark.parametrize("name", GUARDS)
+def test_each_check_fails_when_its_guard_is_out(nights: dict[str, list[str]], name: str) -> None:
+    words = GUARDS[name][2]
+    if not words:
+        assert nights[name] == []
+    else:
+        assert any(words in text for text in nights[name]), nights[name][:5]
