--- a/otterquay/chat/gateway.py
+++ b/otterquay/chat/gateway.py
@@ -25,6 +25,7 @@
 from otterquay.agent.front import Ask, Asker, Final
 from otterquay.chat import hub as hb
 from otterquay.chat import messages as ms
+from otterquay.chat.pace import Pace
 from otterquay.config.schema import Service
 from otterquay.config.units import split_address
 from otterquay.logs import Logger
@@ -154,6 +155,7 @@
         self._relays: dict[int, Wire] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._conns = 0
+        self._pace = Pace(service.chat.handshake_rate, service.chat.handshake_burst)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._stopping = False
@@ -241,6 +243,8 @@
         self._conns += 1
         conn = self._conns
         try:
+            if (wait := self._pace.wait(wire.heard)) > 0:
+                await asyncio.sleep(wait)
             async with asyncio.timeout(HANDSHAKE_S):
                 ready = await self._handshake(wire)
             if ready:
--- a/otterquay/config/schema.py
+++ b/otterquay/config/schema.py
@@ -200,6 +200,8 @@
     tenant_rate: float = Field(default=500.0, gt=0)
     tenant_burst: float = Field(default=1000.0, ge=1)
     per_address: Positive = 10000
+    handshake_rate: float = Field(default=800.0, gt=0)
+    handshake_burst: float = Field(default=50.0, ge=1)
 
 
 class Agent(Block):
--- a/tests/test_chat_hub.py
+++ b/tests/test_chat_hub.py
@@ -15,6 +15,7 @@
 from otterquay.chat import hub as hb
 from otterquay.chat import messages as ms
 from otterquay.chat.grammar import Mistyped, Typed, parse
+from otterquay.chat.pace import Pace
 from otterquay.chat.tokens import Resume, proof, proves, seal, unseal
 from otterquay.config import load_service
 
@@ -302,6 +303,14 @@
     assert code(closed.say(conn, type="hello", name="x", tenant="a")) == "bad_proof"
 
 
+def test_handshakes_are_paced_and_unused_slots_are_not_kept() -> None:
+    pace = Pace(100.0, 5.0)
+    waits = [pace.wait(0.0) for _ in range(105)]
+    assert waits[:5] == pytest.approx([0.0] * 5, abs=1e-9) and waits[-1] == pytest.approx(1.0)
+    assert [pace.wait(1.0) for _ in range(2)] == pytest.approx([0.01, 0.02])
+    assert [pace.wait(100.0) for _ in range(6)] == pytest.approx([0, 0, 0, 0, 0, 0.01], abs=1e-9)
+
+
 # --- tokens and grammar ---
 def test_tokens_are_taken_whole_and_under_their_key_only() -> None:
     resume = Resume(1, 2, 3, 4, "a", "p", "player")
