--- a/otterquay/lab/world.py
+++ b/otterquay/lab/world.py
@@ -17,8 +17,9 @@
 from otterquay.standins.desk import Desk
 from otterquay.standins.fleet import Fleet, Position
 from otterquay.standins.links import Link
-from otterquay.standins.tape import AgentDown, AgentUp, Tape
+from otterquay.standins.tape import AgentDown, AgentUp, Stalled, Tape
 
+HEARTBEAT_S = 0.02
 SETTLE_S = 1.0  # from the agents' start to the first request
 
 
@@ -62,8 +63,17 @@
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
 
+    async def _watch(self) -> None:
+        """Notes when this loop stands still, as every time on the tape is then in doubt."""
+        while True:
+            due = self._now() + HEARTBEAT_S
+            await asyncio.sleep(HEARTBEAT_S)
+            if (late := self._now() - due) > HEARTBEAT_S:
+                self.tape.add(Stalled(self._now(), late))
+
     async def run(self) -> None:
         """The whole day."""
+        watch = asyncio.get_running_loop().create_task(self._watch())
         try:
             await self._start()
             faults = asyncio.get_running_loop().create_task(self.play())
@@ -73,6 +83,7 @@
                 await task
         finally:
             await self._close()
+            watch.cancel()
 
     async def _traffic(self) -> None:
         await self.clients.offer(self._rate, self.day.duration / 1e3)
--- a/otterquay/standins/tape.py
+++ b/otterquay/standins/tape.py
@@ -145,6 +145,12 @@
     cap: float
 
 
+class Stalled(Crossing, frozen=True):
+    """The stand-ins' own loop woke this late: what they saw then may be as much off."""
+
+    seconds: float
+
+
 class Typed(Crossing, frozen=True):
     """A chat client wrote a command; `op` is the word by which a matchmaker books it."""
 
@@ -173,7 +179,7 @@
 
 Kinds = (
     AgentUp | AgentDown | Asked | Answered | Surplus | Left | Lost | Arrived | Replied | Ran | Started
-    | ToldServer | ToldStage | Voted | Moved | Typed | Told | Resumed
+    | ToldServer | ToldStage | Voted | Moved | Stalled | Typed | Told | Resumed
 )
 
 
