--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -37,10 +37,11 @@
 class Ours:
     """The store, its disk synced in the loop or aside."""
 
-    def __init__(self, folder: Path, aside: bool = False) -> None:
+    def __init__(self, folder: Path, aside: bool = False, options: Options | None = None) -> None:
         self.loop = asyncio.new_event_loop()
         disk = AsideDisk(folder) if aside else Disk(folder)
-        self.store: Store = self.loop.run_until_complete(open_store(disk, silent(), time.monotonic))
+        self.store: Store = self.loop.run_until_complete(open_store(
+            disk, silent(), time.monotonic, options))
 
     def group(self, rows: list[tuple[bytes, bytes]]) -> None:
         async def run() -> None:
@@ -194,7 +195,7 @@
         if name == "store, synced aside":
             continue
         folder, rng = scratch / f"{name}-over", random.Random(1)
-        base = make(folder)
+        base = Ours(folder, options=Options(segment_bytes=1 << 20)) if name == "store" else make(folder)
         for at in range(0, keys, 1000):
             base.one(rows_of(rng, at, 1000))
         before, waits, worst = written(), [], 0
--- a/otterquay/lab/world.py
+++ b/otterquay/lab/world.py
@@ -12,6 +12,7 @@
 from otterquay.config.schema import Service
 from otterquay.lab.day import Day, FaultPlan
 from otterquay.lab.hosts import Host, Place
+from otterquay.lab.simloop import SimLoop
 from otterquay.standins.appliance import Appliance, Flaw, Shape
 from otterquay.standins.clients import Clients, Habit
 from otterquay.standins.desk import Desk
@@ -24,7 +25,9 @@
 
 
 def free_ports(count: int, kind: socket.SocketKind = socket.SOCK_DGRAM) -> list[int]:
-    """Ports that were free a moment ago, below those that the system hands out by itself."""
+    """Ports that were free a moment ago, below those that the system hands out by itself, or the loop's own."""
+    if isinstance(loop := asyncio.get_running_loop(), SimLoop):
+        return [loop.port() for _ in range(count)]
     held: list[socket.socket] = []
     while len(held) < count:
         one = socket.socket(socket.AF_INET, kind)
--- a/otterquay/standins/chat.py
+++ b/otterquay/standins/chat.py
@@ -53,7 +53,8 @@
                 next_at = loop.time() + self.rng.expovariate(1 / pause_s)
                 await self._type()
             else:
-                await self._pump(min(next_at, loop.time() + 0.2) if loop.time() < until else loop.time() + 0.2)
+                soon = loop.time() + 0.2  # before it is welcome, a client's next command does not fall due
+                await self._pump(min(next_at, soon) if self.welcomed and loop.time() < until else soon)
         self._drop()
 
     def _drop(self) -> None:
--- a/tests/test_auditor.py
+++ b/tests/test_auditor.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -16,7 +15,8 @@
 from otterquay.config.load import parse_document
 from otterquay.lab.auditor import RULES, Auditor, Report
 from otterquay.lab.day import Day
-from otterquay.lab.play import Result, inside, play
+from otterquay.lab.play import Result
+from otterquay.lab.sim import play_simulated, simulated
 from otterquay.standins import tape as tp
 
 CLASSES = {"safe": "lobby-read", "keyed": "queue-join", "unsafe": "race-entry"}
@@ -280,25 +280,17 @@
 
 @pytest.fixture(scope="module")
 def days() -> dict[tuple[str, bool], Result]:
-    """All days, with the guard of each rule in and out, at once in one loop."""
+    """All days, with the guard of each rule in and out, on simulated time."""
 
-    async def one(rule: str, guarded: bool) -> Result:
+    def one(rule: str, guarded: bool) -> Result:
         decider, extra, blocks = CASES[rule]
         config = service(**blocks)
-        day = parse_document(Day, TEXT + extra)
-        return await play(day, config, 3, inside(config, decider=rules.Agent if guarded else decider))
-
-    async def every() -> dict[tuple[str, bool], Result]:
-        found: dict[tuple[str, bool], Result] = {}
-        for guarded in (True, False):  # few at once, so that the loop does not fall behind
-            for some in (RULES[:3], RULES[3:]):
-                for rule, result in zip(some, await asyncio.gather(*(one(r, guarded) for r in some)), strict=True):
-                    found[rule, guarded] = result
-        return found
+        hosts = simulated(config, 3, decider=rules.Agent if guarded else decider)
+        return play_simulated(parse_document(Day, TEXT + extra), config, 3, hosts).result
 
     with pytest.MonkeyPatch.context() as monkeypatch:
         patient_drains(monkeypatch)
-        return asyncio.run(every())
+        return {(rule, guarded): one(rule, guarded) for rule in RULES for guarded in (True, False)}
 
 
 @pytest.mark.parametrize("rule", RULES)
--- a/tests/test_chat_night.py
+++ b/tests/test_chat_night.py
@@ -17,7 +17,9 @@
 from otterquay.chat import messages as ms
 from otterquay.lab.chat import ChatWorld, judge, unsafe_commands
 from otterquay.lab.day import FaultPlan, load_day
-from otterquay.lab.play import inside
+from otterquay.lab.disk import FaultDisk
+from otterquay.lab.sim import SimAgent, simulated
+from otterquay.lab.simloop import simulate
 
 NIGHT = EXAMPLE.parent / "chat-night.hcl"
 SEEDS = range(1, 11)
@@ -93,14 +95,25 @@
     "an id is one command": (ForgetsIds, rules.Agent, "spent 2 times"),
     "answers are kept": (KeepsNoAnswers, rules.Agent, "got no final answer"),
     "loss is told": (SilentOnLoss, rules.Agent, "got no final answer"),
-    "what was lost never runs again": (RunsAgain, rules.Agent, "spent"),  # twice, or refused after it was
+    "what was lost never runs again": (RunsAgain, rules.Agent, "spent"),
     "race-entry is unsafe": (hb.Hub, AllAreSafe, "spent"),
 }
 
 
+LOSSES = ("loss is told", "what was lost never runs again")
+
+
+class Forgetful(SimAgent):
+    """An agent without a store that outlasts it."""
+
+    async def start(self) -> str:
+        self.disk = FaultDisk()
+        return await super().start()
+
+
 @pytest.fixture(scope="module")
 def nights() -> dict[str, list[str]]:
-    """A night for each guard taken out, one after the other in this process."""
+    """A night for each guard taken out, on simulated time."""
     day, service = load_day(NIGHT)
     slow, kill = (FaultPlan.model_validate(plan) for plan in (  # so that much is open at the kill
         {"kind": "slow_servers", "at": "1s", "lasts": "1200ms", "count": 8, "factor": 60},
@@ -110,9 +123,9 @@
     for name, (hub, decider, _) in GUARDS.items():
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr("otterquay.chat.gateway.hb.Hub", hub)
-            world = ChatWorld(day, service, 5, inside(service, decider=decider), people=150, pause_s=0.5,
-                              fault_share=0.5, patience_s=1.0)
-            asyncio.run(world.run())
+            hosts = simulated(service, 5, decider=decider, agent=Forgetful if name in LOSSES else SimAgent)
+            world = ChatWorld(day, service, 5, hosts, people=150, pause_s=0.5, fault_share=0.5, patience_s=1.0)
+            simulate(world.run(), 5)
         found[name] = judge(world.tape, unsafe_commands(service))["violations"]
     return found
 
