lab sim and lab search; an agent that stood still counts its clients' time from before

Need: a paused agent served what had come meanwhile as if it were fresh, up to 0.6 s after the client's time; and faults must be drawn, not only scripted. Change: a beat tells the front how long what it reads may have waited, and that much is taken off the client's time, as is the wait behind another request of the connection. Timers of one instant fire in the order in which they were set.

--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -10,9 +10,10 @@
 import math
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Protocol
 
+from otterquay.agent.standstill import BEAT_S, Standstill
 from otterquay.config.schema import Service
 from otterquay.logs import Logger
 from otterquay.protocol.http import HttpRequest, ProtocolError, RequestParser, write_response
@@ -132,7 +133,7 @@
 
     writer: asyncio.StreamWriter
     go_on: Callable[[Client], None]
-    waiting: deque[HttpRequest] = field(default_factory=deque)
+    waiting: deque[tuple[HttpRequest, float]] = field(default_factory=deque)  # and when it may have come
     number: int | None = None
     keep_alive: bool = True
     idle_since: float = 0.0
@@ -181,6 +182,8 @@
     stopping: bool = False
     _server: asyncio.Server | None = None
     _sweeper: asyncio.TimerHandle | None = None
+    _beater: asyncio.TimerHandle | None = None
+    _standstill: Standstill = field(init=False)
     _reader: Reader = field(init=False)
 
     def __post_init__(self) -> None:
@@ -190,6 +193,8 @@
         """Listen; returns host and port bound. OSError when the address cannot be had."""
         self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
         name = self._server.sockets[0].getsockname()
+        self._standstill = Standstill(asyncio.get_running_loop().time())
+        self._beat()
         self._sweep()
         return str(name[0]), int(name[1])
 
@@ -205,8 +210,9 @@
     def close(self) -> None:
         """Close all that is still open."""
         self.stop_listening()
-        if self._sweeper:
-            self._sweeper.cancel()
+        for timer in (self._sweeper, self._beater):
+            if timer:
+                timer.cancel()
         for client in list(self.clients):
             client.writer.close()
 
@@ -252,9 +258,10 @@
             data = await reader.read(READ_SIZE)
             if not data:
                 return
-            client.idle_since = loop.time()
+            now = client.idle_since = loop.time()
             whole = parser.feed(data)
-            client.waiting.extend(whole)
+            came = now - self._standstill.waited(now)
+            client.waiting.extend([(http, came) for http in whole])
             if not parser.started:
                 client.head_since = None
             elif whole or client.head_since is None:
@@ -271,7 +278,7 @@
             if client.writer.transport.get_write_buffer_size() > self.service.front.max_body:
                 client.resuming = client.resuming or asyncio.get_running_loop().create_task(self._resume(client))
                 return
-            http = client.waiting.popleft()
+            http, came = client.waiting.popleft()
             client.keep_alive = http.keep_alive and not self.stopping
             try:
                 ask = self._reader.read(http)
@@ -279,6 +286,8 @@
                 self.log.info("request_refused", status=error.status, reason=error.reason)
                 client.answer(plain(error.status, error.reason, client.keep_alive))
                 continue
+            if (waited := (asyncio.get_running_loop().time() - came) * 1e3) > 1.0:  # the client's time ran on
+                ask = replace(ask, budget_ms=max(ask.budget_ms - waited, 0.0))
             if self.stopping or not self.taker.take(ask, client):
                 client.answer(refusal("nothing more is taken", client.keep_alive))
 
@@ -292,6 +301,11 @@
             client.wake.set()
         self.go_on(client)
 
+    def _beat(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._standstill.beaten(loop.time())
+        self._beater = loop.call_later(BEAT_S, self._beat)
+
     def _sweep(self) -> None:
         """End clients that idle, that never finish a request, or that never read. One timer for all."""
         loop, bounds = asyncio.get_running_loop(), self.service.front
--- a/otterquay/cli/lab.py
+++ b/otterquay/cli/lab.py
@@ -4,10 +4,16 @@
 
 import asyncio
 import json
+import os
+import random
 import sys
 import tempfile
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
 from dataclasses import asdict
+from functools import partial
 from pathlib import Path
+from time import perf_counter
 
 import click
 from rich.console import Console
@@ -15,10 +21,12 @@
 from rich.table import Table
 
 from otterquay.config import ConfigError
-from otterquay.lab import torture
+from otterquay.lab import search, torture
 from otterquay.lab.chat import ChatWorld, judge, unsafe_commands
 from otterquay.lab.day import load_day
 from otterquay.lab.play import Result, inside, play, play_with_processes, processes
+from otterquay.lab.sim import play_simulated
+from otterquay.lab.simloop import Stuck
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
@@ -150,6 +158,101 @@
     sys.exit(1 if found["violations"] else 0)
 
 
+@lab.command("sim")
+@click.argument("file", type=FILE)
+@click.option("--agents", type=click.IntRange(1), help="So many agents, in place of the file's.")
+@click.option("--machines", type=click.IntRange(1), help="So many machines, in place of the file's.")
+@click.option("--rate", type=click.FloatRange(0.1), help="Requests a second, in place of the file's.")
+@click.option("--seconds", type=click.FloatRange(0.5), help="Length of the day, in place of the file's.")
+@click.option("--seed", type=int, default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object in place of the tables.")
+def sim_command(
+    file: Path, agents: int | None, machines: int | None, rate: float | None, seconds: float | None, seed: int,
+    as_json: bool,
+) -> None:
+    """Play the day in FILE on simulated time; exit 1 when a rule was broken, 2 when the file is wrong."""
+    try:
+        day, service = load_day(file)
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    if agents:
+        day = search.grown(day, service, agents, random.Random(seed))
+    if machines:
+        day = day.model_copy(update={"fleet": day.fleet.model_copy(update={"machines": machines})})
+    if rate:
+        day = day.model_copy(update={"traffic": day.traffic.model_copy(update={"rate": rate})})
+    if seconds:
+        day = day.model_copy(update={"duration": seconds * 1e3})
+    service = service.model_copy(update={"agent": service.agent.model_copy(
+        update={"count": len(day.agents.zones), "number": 0})})
+    begin = perf_counter()
+    try:
+        played = play_simulated(day, service, seed)
+    except Stuck as stuck:
+        raise click.ClickException(f"the run does not end: {stuck}") from None
+    summary = {**played.summary(), "wall_s": round(perf_counter() - begin, 3)}
+    if as_json:
+        click.echo(json.dumps(summary))
+    else:
+        print_result(played.result)
+        click.echo(f"digest {summary['digest']}; {summary['sim_s']} s simulated in {summary['wall_s']} s")
+        for text in summary["errors"]:
+            click.echo(f"error in the program: {text}")
+    sys.exit(1 if played.result.report.broken or played.faults else 0)
+
+
+def _hunt(file: Path, seed: int) -> search.Found:
+    day, service = load_day(file)
+    return search.trial(search.draw(day, service, seed), service, seed)
+
+
+@lab.command("search")
+@click.argument("file", type=FILE)
+@click.option("--seeds", type=click.IntRange(1), default=100, show_default=True, help="So many days.")
+@click.option("--first", type=int, default=1, show_default=True, help="The first seed.")
+@click.option("--jobs", type=click.IntRange(1), help="Processes; as many as cores when not given.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path), help="Folder for failing days, shrunk.")
+@click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
+def search_command(file: Path, seeds: int, first: int, jobs: int | None, out: Path | None, as_json: bool) -> None:
+    """Play FILE with other faults for each seed; exit 1 when a rule was broken, each such day shrunk to OUT."""
+    try:
+        day, service = load_day(file)
+    except ConfigError as error:
+        click.echo(str(error), err=True)
+        sys.exit(2)
+    found: list[search.Found] = []
+    progress = Progress(console=Console(stderr=True, quiet=as_json), transient=True)
+    with progress, ProcessPoolExecutor(jobs) as pool:
+        task = progress.add_task("days", total=seeds)
+        for one in pool.map(partial(_hunt, file), range(first, first + seeds)):
+            found.append(one)
+            progress.advance(task)
+    bad = [one for one in found if one.bad]
+    for one in bad[:10] if out else ():
+        assert out is not None
+        out.mkdir(parents=True, exist_ok=True)
+        smaller = search.shrink(search.draw(day, service, one.seed), service, one.seed)
+        again = search.trial(smaller, service, one.seed)
+        note = "\n".join([f"Found by search, seed {one.seed}."] + [
+            f"{rule}: {text}" for rule, texts in again.broken.items() for text in texts[:2]])
+        target = os.path.relpath(file.parent / day.service, out)
+        (out / f"seed-{one.seed}.hcl").write_text(search.day_text(smaller, target, note))
+    worst = sorted(found, key=lambda one: one.served)[:5]
+    if as_json:
+        click.echo(json.dumps({
+            "days": len(found), "bad": [asdict(one) for one in bad], "least_served": [asdict(one) for one in worst],
+            "faults": dict(Counter(kind for one in found for kind in one.faults))}))
+    else:
+        click.echo(f"{len(found)} days, {len(bad)} of them broke something")
+        for one in bad:
+            for rule, texts in one.broken.items():
+                click.echo(f"seed {one.seed} ({', '.join(one.faults)}): {rule}: {texts[0]}")
+        for one in worst:
+            click.echo(f"seed {one.seed} ({', '.join(one.faults)}): {one.served:.1%} served")
+    sys.exit(1 if bad else 0)
+
+
 @lab.command("store-torture")
 @click.option("--seed", type=int, default=1, show_default=True)
 @click.option("--kills", type=click.IntRange(0), default=200, show_default=True, help="Writers to kill.")
--- a/otterquay/lab/auditor.py
+++ b/otterquay/lab/auditor.py
@@ -12,6 +12,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
+
 from otterquay.config.schema import RequestClass, Service
 from otterquay.standins import tape as tp
 
@@ -76,9 +78,27 @@
         self._started: dict[tuple[int, int], tp.Started] = {}
         self._work: dict[tuple[int, int], list[tp.Arrived]] = defaultdict(list)
         self._surplus = 0
+        self._stood: dict[int, list[tp.Stood]] = defaultdict(list)
+        for c in tape.crossings:
+            if isinstance(c, tp.Stood):
+                self._stood[c.agent].append(c)
+        self._severed = [c for c in tape.crossings if isinstance(c, tp.Severed)]
         for crossing in sorted(tape.crossings, key=lambda c: c.at):
             self._book(crossing)
 
+    def _awake(self, agent: int, at: float) -> float:
+        """The first time from `at` on at which the agent did not stand still."""
+        return max([at, *(s.at for s in self._stood[agent] if s.since <= at <= s.at)])
+
+    def _told(self, agent: int, at: float) -> float:
+        """When news written at this time had reached the agent; 0 where it was lost on the way."""
+        for cut in self._severed:
+            if agent in cut.agents and cut.since - self._slack <= at <= cut.at:
+                if cut.lost:
+                    return 0.0
+                at = cut.at
+        return self._awake(agent, at)
+
     def _life(self, agent: int, at: float) -> _Life | None:
         lives = self._lives[agent]
         return lives[-1] if lives and at <= lives[-1].until else None
@@ -115,11 +135,11 @@
             case tp.Started():
                 self._started[c.server, c.incarnation] = c
             case tp.ToldServer():
-                if life := self._life(c.agent, c.at):
-                    life.servers[c.server].append(c)
+                if (life := self._life(c.agent, c.at)) and (at := self._told(c.agent, c.at)):
+                    life.servers[c.server].append(replace(c, at=at))
             case tp.ToldStage():
-                if life := self._life(c.agent, c.at):
-                    life.stages.append(c)
+                if (life := self._life(c.agent, c.at)) and (at := self._told(c.agent, c.at)):
+                    life.stages.append(replace(c, at=at))
 
     def judge(self) -> Report:
         """All five rules."""
@@ -142,7 +162,8 @@
             if len(one.answers) > 1:
                 broken.append(f"{id}: {len(one.answers)} final answers")
             if one.answers:
-                late = one.answers[0].at - asked.at - asked.budget_s
+                # while it stands still it can answer nothing; what is overdue then is due at once
+                late = one.answers[0].at - self._awake(asked.agent, asked.at + asked.budget_s)
                 if late > slack:
                     broken.append(f"{id}: answered {late * 1e3:.0f} ms after the client's time")
                 for arrival in one.arrived:
@@ -258,7 +279,7 @@
         groups: dict[tuple[int, str], list[tp.Arrived]] = defaultdict(list)
         asked: dict[str, list[float]] = defaultdict(list)
         for one in life.asked:
-            asked[one.cls if self._roll.per_class else ""].append(one.at)
+            asked[one.cls if self._roll.per_class else ""].append(self._awake(life.agent, one.at))  # when taken
         cls_of = {a.id: self._tries[a.id].asked.cls for a in life.arrived}
         for arrival in life.arrived:
             told = [t for t in life.servers.get(arrival.server, []) if t.at <= arrival.at and t.build]
--- a/otterquay/lab/play.py
+++ b/otterquay/lab/play.py
@@ -71,9 +71,12 @@
 
 async def play(
     day: Day, service: Service, seed: int, hosts: Callable[[Place], Host],
-    say: Callable[[str], None] = lambda text: None,
+    say: Callable[[str], None] = lambda text: None, tolerance_s: float = 0.25,
 ) -> Result:
-    """Play a day with agents from `hosts`; the auditor has judged when this returns."""
+    """Play a day with agents from `hosts`; the auditor has judged when this returns.
+
+    `tolerance_s` is how far the observer's times may be off: little where time is simulated.
+    """
     latency: dict[str, HdrHistogram] = {}
 
     def note(cls: str, seconds: float) -> None:
@@ -83,7 +86,7 @@
     world = World(day, service, seed, hosts, say)
     world.latencies = note
     await world.run()
-    return Result(world.tape, Auditor(world.tape, service).judge(), latency)
+    return Result(world.tape, Auditor(world.tape, service, tolerance_s).judge(), latency)
 
 
 def inside(service: Service, **changes: Any) -> Callable[[Place], Host]:
--- a/otterquay/lab/sim.py
+++ b/otterquay/lab/sim.py
@@ -17,6 +17,8 @@
 from otterquay.lab.simloop import Machine, SimLoop, simulate
 from otterquay.standins.tape import Tape
 
+TOLERANCE_S = 0.005  # the network's delays; the observer sees all else as it happens
+
 
 class SimAgent(Inside):
     """An agent on a machine of its own, which can be paused and killed as a process can."""
@@ -84,6 +86,6 @@
     say: Callable[[str], None] = lambda text: None,
 ) -> Simulated:
     """Play a day; the same seed gives the same digest. Stuck, Outside: see `simloop.simulate`."""
-    work = play(day, service, seed, hosts or simulated(service, seed), say)
+    work = play(day, service, seed, hosts or simulated(service, seed), say, TOLERANCE_S)
     result, loop = simulate(work, seed)
     return Simulated(result, digest(result.tape), loop.now - loop.begin, loop.turns, loop.faults)
--- a/otterquay/lab/simloop.py
+++ b/otterquay/lab/simloop.py
@@ -89,7 +89,15 @@
 
 
 class _Timer(asyncio.TimerHandle):
-    """The same with a time."""
+    """The same with a time; of those due at one instant the first that was set comes first."""
+
+    number = 0
+
+    def __lt__(self, other: object) -> bool:
+        """Order in the heap."""
+        assert isinstance(other, _Timer)
+        mine, others = self._when, other._when  # type: ignore[attr-defined]
+        return bool(mine < others or (mine == others and self.number < other.number))
 
     def _run(self) -> None:
         machine: Machine = self._context.get(MACHINE, HOME)  # type: ignore[attr-defined]
@@ -385,7 +393,7 @@
         super().__init__()
         self.rng, self.network = random.Random(seed), network or Network()
         self.begin = self.now = 1000.0
-        self.turns = 0
+        self.turns = self._timers = 0
         self._selector = _Idle(self)
         self._clock_resolution = 1e-9
         self.listeners: dict[tuple[str, int], SimServer] = {}
@@ -424,6 +432,8 @@
     ) -> asyncio.TimerHandle:
         """As asyncio's."""
         timer = _Timer(when, callback, args, self, context)
+        self._timers += 1
+        timer.number = self._timers
         heapq.heappush(self._scheduled, timer)  # type: ignore[attr-defined]
         timer._scheduled = True  # type: ignore[attr-defined]
         return timer
--- a/otterquay/lab/world.py
+++ b/otterquay/lab/world.py
@@ -18,7 +18,7 @@
 from otterquay.standins.desk import Desk
 from otterquay.standins.fleet import Fleet, Position
 from otterquay.standins.links import Link
-from otterquay.standins.tape import AgentDown, AgentUp, Stalled, Tape
+from otterquay.standins.tape import AgentDown, AgentUp, Severed, Stalled, Stood, Tape
 
 HEARTBEAT_S = 0.02
 SETTLE_S = 1.0  # from the agents' start to the first request
@@ -236,17 +236,30 @@
         ready = [a for p in self.fleet.positions if (a := self.fleet.newest(p))]
         return self.fleet.rng.sample(ready, min(fault.count, len(ready)))
 
+    def _sever(self, fault: FaultPlan, lost: bool, **values: object) -> Callable[[], None]:
+        since, home, undo = self._now(), self.fleet.zones[0], self._set(self._links(fault), **values)
+        far = [n for n, zone in enumerate(self.day.agents.zones)
+               if zone != home and {zone, home} == set(fault.zones)]
+
+        def mend() -> None:
+            undo()
+            # what a slow link holds is passed on piece by piece, each as late
+            late = 0.0 if lost else 10 * fault.factor / 1e3
+            self.tape.add(Severed(self._now() + late, far, since, lost))
+
+        return mend
+
     def _zone_cut(self, fault: FaultPlan) -> Callable[[], None]:
-        return self._set(self._links(fault), cut=True)
+        return self._sever(fault, True, cut=True)
 
     def _one_way(self, fault: FaultPlan) -> Callable[[], None]:
-        return self._set(self._links(fault), one_way=True)
+        return self._sever(fault, True, one_way=True)
 
     def _link_reset(self, fault: FaultPlan) -> Callable[[], None]:
-        return self._set(self._links(fault), reset=True)
+        return self._sever(fault, True, reset=True)
 
     def _link_slow(self, fault: FaultPlan) -> Callable[[], None]:
-        return self._set(self._links(fault), delay_s=fault.factor / 1e3)
+        return self._sever(fault, False, delay_s=fault.factor / 1e3)
 
     async def _zone_loss(self, fault: FaultPlan) -> None:
         lost = [(p, a) for p in self.fleet.positions if p.zone == fault.zones[0] for a in list(p.held)]
@@ -257,22 +270,33 @@
             await self.fleet.start(position, appliance.build, True, appliance.server)
 
     async def _kill_agent(self, fault: FaultPlan) -> None:
-        self.running.pop(fault.agent, None)
+        if self.running.pop(fault.agent, None) is None:
+            return  # it is down
         await self.agents[fault.agent].kill()
         self.tape.add(AgentDown(self._now(), fault.agent, "killed"))
         await asyncio.sleep(fault.lasts / 1e3)
         await self._start_agent(fault.agent)
 
     async def _stop_agent(self, fault: FaultPlan) -> None:
-        self.running.pop(fault.agent, None)
+        if self.running.pop(fault.agent, None) is None:
+            return  # it is down
         await self.agents[fault.agent].stop()
         self.tape.add(AgentDown(self._now(), fault.agent, "stopped"))
         await asyncio.sleep(fault.lasts / 1e3)
         await self._start_agent(fault.agent)
 
     def _pause_agent(self, fault: FaultPlan) -> Callable[[], None]:
+        since, life = self._now(), self.running.get(fault.agent)
+        if life is None:
+            return lambda: None  # it is down
         self.agents[fault.agent].pause(True)
-        return lambda: self.agents[fault.agent].pause(False)
+
+        def go_on() -> None:
+            self.agents[fault.agent].pause(False)
+            if self.running.get(fault.agent) == life:
+                self.tape.add(Stood(self._now(), fault.agent, since))
+
+        return go_on
 
     async def _drain(self, fault: FaultPlan) -> None:
         drained = self._servers(fault)
--- a/otterquay/standins/tape.py
+++ b/otterquay/standins/tape.py
@@ -151,6 +151,21 @@
     seconds: float
 
 
+class Stood(Crossing, frozen=True):
+    """An agent was made to stand still from `since` until now."""
+
+    agent: int
+    since: float
+
+
+class Severed(Crossing, frozen=True):
+    """From `since` until now news on the way to these agents was lost, or came by now."""
+
+    agents: list[int]
+    since: float
+    lost: bool
+
+
 class Typed(Crossing, frozen=True):
     """A chat client wrote a command; `op` is the word by which a matchmaker books it."""
 
@@ -179,7 +194,7 @@
 
 Kinds = (
     AgentUp | AgentDown | Asked | Answered | Surplus | Left | Lost | Arrived | Replied | Ran | Started
-    | ToldServer | ToldStage | Voted | Moved | Stalled | Typed | Told | Resumed
+    | ToldServer | ToldStage | Voted | Moved | Stalled | Stood | Severed | Typed | Told | Resumed
 )
 
 
