--- a/otterquay/agent/keeper.py
+++ b/otterquay/agent/keeper.py
@@ -18,7 +18,7 @@
 
 import asyncio
 import struct
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -42,6 +42,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._build = 0
         self._votes = 0
+        self._listed: dict[int, news.Entry] = {}
 
     # --- what is restored ---
     def recall(self, now_ms: float) -> tuple[news.FleetNews | None, list[it.Event]]:
@@ -49,10 +50,12 @@
         fleet: news.FleetNews | None = None
         events: list[it.Event] = []
         try:
-            if data := self._store.get(LIST, b""):
-                fleet = msgspec.json.decode(data, type=news.FleetNews)
-            if data := self._store.get(STAGE, b""):
-                self._build = int(data)
+            for key, data in self._store.scan(LIST):
+                self._listed[int.from_bytes(key)] = msgspec.json.decode(data, type=news.Entry)
+            if self._listed:
+                fleet = news.FleetNews(0, list(self._listed.values()))
+            if stage := self._store.get(STAGE, b""):
+                self._build = int(stage)
                 if self._build > 0:
                     events.append(it.StageNews(self._build - 1, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0,
                                                float("inf")))
@@ -72,9 +75,14 @@
     def _put(self, changes: Sequence[Change]) -> None:
         self._store.submit(changes)
 
-    def list(self, fleet: news.FleetNews) -> None:
-        """The list as it is held now."""
-        self._put([Put(LIST, b"", msgspec.json.encode(fleet))])
+    def list(self, held: Mapping[int, news.Entry]) -> None:
+        """The list as it is held now; what has changed since it was last told is written."""
+        changes: list[Change] = [Delete(LIST, server.to_bytes(8)) for server in self._listed if server not in held]
+        changes += [Put(LIST, server.to_bytes(8), msgspec.json.encode(entry)) for server, entry in held.items()
+                    if self._listed.get(server) != entry]
+        self._listed = dict(held)
+        if changes:
+            self._put(changes)
 
     def stage(self, stage: it.StageNews) -> None:
         """The newest build named; one that goes back frees the keys that it answered."""
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -402,7 +402,7 @@
             return
         self.post(told)
         if self._keeper:
-            self._keeper.list(news.FleetNews(fleet.version, list(self._fleet.entries.values())))
+            self._keeper.list(self._fleet.entries)
 
     def _fleet_broken(self, reason: str) -> None:
         if self.settings.discovery is it.Discovery.ASK:
--- a/otterquay/agent/standstill.py
+++ b/otterquay/agent/standstill.py
@@ -9,7 +9,7 @@
 
 from dataclasses import dataclass
 
-BEAT_S, WOKEN_S, AFTER_S = 0.05, 0.1, 0.01
+BEAT_S, WOKEN_S, AFTER_S = 0.1, 0.1, 0.01
 
 
 @dataclass(slots=True)
--- a/otterquay/lab/hosts.py
+++ b/otterquay/lab/hosts.py
@@ -67,7 +67,7 @@
     place: Place
     key: bytes
     decider: Callable[[it.Settings, int], Decider] = rules.Agent
-    disk: FaultDisk = field(default_factory=FaultDisk)
+    disk: FaultDisk = field(default_factory=lambda: FaultDisk(sector=4096))
     runtime: Runtime | None = None
     starts: int = 0
 
