--- a/otterquay/cli/lab.py
+++ b/otterquay/cli/lab.py
@@ -182,8 +182,10 @@
         day = day.model_copy(update={"fleet": day.fleet.model_copy(update={"machines": machines})})
     if rate:
         day = day.model_copy(update={"traffic": day.traffic.model_copy(update={"rate": rate})})
-    if seconds:
-        day = day.model_copy(update={"duration": seconds * 1e3})
+    if seconds:  # what would begin after the traffic's end does not
+        day = day.model_copy(update={
+            "duration": seconds * 1e3, "fault": [f for f in day.fault if f.at < seconds * 1e3],
+            "build": {name: b for name, b in day.build.items() if b.at < seconds * 1e3}})
     service = service.model_copy(update={"agent": service.agent.model_copy(
         update={"count": len(day.agents.zones), "number": 0})})
     begin = perf_counter()
