--- a/otterquay/cli/lab.py
+++ b/otterquay/cli/lab.py
@@ -182,10 +182,11 @@
         day = day.model_copy(update={"fleet": day.fleet.model_copy(update={"machines": machines})})
     if rate:
         day = day.model_copy(update={"traffic": day.traffic.model_copy(update={"rate": rate})})
-    if seconds:  # what would begin after the traffic's end does not
+    if seconds:  # nothing begins after the traffic's end or lasts beyond it
+        end = seconds * 1e3
         day = day.model_copy(update={
-            "duration": seconds * 1e3, "fault": [f for f in day.fault if f.at < seconds * 1e3],
-            "build": {name: b for name, b in day.build.items() if b.at < seconds * 1e3}})
+            "duration": end, "build": {name: b for name, b in day.build.items() if b.at < end},
+            "fault": [f.model_copy(update={"lasts": min(f.lasts, end - f.at)}) for f in day.fault if f.at < end]})
     service = service.model_copy(update={"agent": service.agent.model_copy(
         update={"count": len(day.agents.zones), "number": 0})})
     begin = perf_counter()
