Store and simulated loop: twins made one, dead parameters and a pass-through removed

Change: new_segment, numbered and one _Handle serve both sides; the rest is gone. Behaviour is as before.

--- a/otterquay/agent/keeper.py
+++ b/otterquay/agent/keeper.py
@@ -18,7 +18,7 @@
 
 import asyncio
 import struct
-from collections.abc import Mapping, Sequence
+from collections.abc import Mapping
 
 import msgspec
 
@@ -72,9 +72,6 @@
         return fleet, events
 
     # --- what is written down ---
-    def _put(self, changes: Sequence[Change]) -> None:
-        self._store.submit(changes)
-
     def list(self, held: Mapping[int, news.Entry]) -> None:
         """The list as it is held now; what has changed since it was last told is written."""
         changes: list[Change] = [Delete(LIST, server.to_bytes(8)) for server in self._listed if server not in held]
@@ -82,7 +79,7 @@
                     if self._listed.get(server) != entry]
         self._listed = dict(held)
         if changes:
-            self._put(changes)
+            self._store.submit(changes)
 
     def stage(self, stage: it.StageNews) -> None:
         """The newest build named; one that goes back frees the keys that it answered."""
@@ -94,7 +91,7 @@
             self._build = stage.build
             changes.append(Put(STAGE, b"", b"%d" % stage.build))
         if changes:
-            self._put(changes)
+            self._store.submit(changes)
 
     def tried(self, build: int, cls: int) -> None:
         """An attempt on a build under a cap is sent."""
@@ -111,18 +108,18 @@
             self._timer = None
         if self._bin:
             life = (self._window_ms + 4 * BIN_MS) / 1e3
-            self._put([Put(TRIED, key, b"%d" % count, life) for key, count in self._bin.items()])
+            self._store.submit([Put(TRIED, key, b"%d" % count, life) for key, count in self._bin.items()])
             self._bin = {}
 
     def answered(self, key: int, build: int) -> None:
         """A keyed request was answered by this build, where there is no way back."""
         at = key.to_bytes(8)
         if int(self._store.get(ANSWERED, at) or b"0") < build:
-            self._put([Put(ANSWERED, at, b"%d" % build)])
+            self._store.submit([Put(ANSWERED, at, b"%d" % build)])
 
     def voted(self, vote: it.CastVote) -> None:
         """A vote is cast."""
         self._votes += 1
         key = self._store.now().to_bytes(8) + self._votes.to_bytes(4)
-        self._put([Put(VOTES, key, msgspec.json.encode(
+        self._store.submit([Put(VOTES, key, msgspec.json.encode(
             {"build": vote.build, "stage": vote.stage, "verdict": vote.verdict.name.lower()}), VOTES_KEPT_S)])
--- a/otterquay/lab/simloop.py
+++ b/otterquay/lab/simloop.py
@@ -88,7 +88,7 @@
             super()._run()
 
 
-class _Timer(asyncio.TimerHandle):
+class _Timer(_Handle, asyncio.TimerHandle):
     """The same with a time; of those due at one instant the first that was set comes first."""
 
     number = 0
@@ -99,15 +99,6 @@
         mine, others = self._when, other._when  # type: ignore[attr-defined]
         return bool(mine < others or (mine == others and self.number < other.number))
 
-    def _run(self) -> None:
-        machine: Machine = self._context.get(MACHINE, HOME)  # type: ignore[attr-defined]
-        if machine.paused:
-            machine.backlog.append(self)
-        elif machine.dead:
-            _bury(self)
-        else:
-            super()._run()
-
 
 class _Idle:
     """In a selector's place: waiting moves time."""
@@ -382,13 +373,9 @@
 
     abort = close
 
-    def get_extra_info(self, name: str, default: Any = None) -> Any:
-        """Addresses."""
-        return super().get_extra_info(name, default)
-
 
 class SimLoop(asyncio.BaseEventLoop):
-    """The loop; `now` in seconds. `connects` waits this long where nothing answers."""
+    """The loop; `now` in seconds."""
 
     def __init__(self, seed: int, network: Network | None = None) -> None:
         super().__init__()
--- a/otterquay/lab/torture.py
+++ b/otterquay/lab/torture.py
@@ -86,11 +86,6 @@
     raise RuntimeError("it waits for something else than the disk")
 
 
-def drive_all(work: Coroutine[Any, Any, T]) -> T:
-    """Run on a loop of its own."""
-    return asyncio.run(work)
-
-
 def held(store: Store) -> State:
     """All that shows, read entry by entry. Damaged where one cannot be."""
     found = State()
@@ -214,12 +209,12 @@
     return count
 
 
-def crash_everywhere(seed: int, steps: int = 30, ways: int = 4, start: FaultDisk | None = None,
-                     before: State | None = None) -> Count:
+def crash_everywhere(seed: int, steps: int = 30, ways: int = 4) -> Count:
     """Crash before every operation of a random workload, in several ways, and again while that is recovered."""
     rng, crashes, count = random.Random(seed), random.Random(seed + 1), Count()
-    disk, clock = start or FaultDisk(), Clock()
-    acknowledged, inside = dict(before or {}), list[State]()
+    disk, clock = FaultDisk(), Clock()
+    acknowledged: State = {}
+    inside: list[State] = []
 
     def check(left: FaultDisk, depth: int) -> None:
         count.crash_states += 1
@@ -281,10 +276,8 @@
 
 async def write_until_killed(folder: Path, aside: bool) -> None:
     """The process that is killed: sixteen writers, each with one batch over three tables under way at a time."""
-    from asyncio import get_running_loop
-
     disk = AsideDisk(folder) if aside else Disk(folder)
-    store = await open_store(disk, silent(), get_running_loop().time, Options(segment_bytes=64 * 1024))
+    store = await open_store(disk, silent(), asyncio.get_running_loop().time, Options(segment_bytes=64 * 1024))
 
     async def one(writer: int) -> None:
         name = b"%d" % writer
@@ -321,14 +314,12 @@
         await process.wait()
         count.kills += 1
         told()
-        while True:
-            try:
-                store = await open_store(Disk(folder), silent(), asyncio.get_running_loop().time)
-                break
-            except Damaged as damage:
-                count.lost += 1
-                count.notes.append(str(damage))
-                return count
+        try:
+            store = await open_store(Disk(folder), silent(), asyncio.get_running_loop().time)
+        except Damaged as damage:
+            count.lost += 1
+            count.notes.append(str(damage))
+            return count
         for writer, number in acknowledged.items():
             name = b"%d" % writer
             first, second = (int(store.get(t, name) or b"0") for t in ("first", "second"))
--- a/otterquay/store/engine.py
+++ b/otterquay/store/engine.py
@@ -87,6 +87,15 @@
     return f"{number:016x}.hint"
 
 
+async def new_segment(files: Files, number: int, first: int) -> None:
+    """A segment with its head, whose first record will have this sequence number; it lasts when this returns."""
+    name = segment_name(number)
+    files.create(name)
+    files.append(name, fm.write_head(fm.SEGMENT, number, first))
+    await files.sync(name)
+    await files.sync_folder()
+
+
 # the last place (offset << 32 | length) and end of life by key, None for a removed one
 Ops = dict[str, dict[bytes, tuple[int, int] | None]]
 
@@ -372,11 +381,7 @@
     async def _roll(self) -> None:
         """Close the segment. The next one lasts before the record that says it must be there."""
         number, first = self.number + 1, self.sequence + 1
-        name = segment_name(number)
-        self.files.create(name)
-        self.files.append(name, fm.write_head(fm.SEGMENT, number, first))
-        await self.files.sync(name)
-        await self.files.sync_folder()
+        await new_segment(self.files, number, first)
         await self.append(fm.CLOSE, b"")
         ops, closed, self.ops = self.ops, self.number, {}
         self.number = number
--- a/otterquay/store/files.py
+++ b/otterquay/store/files.py
@@ -6,12 +6,18 @@
 import fcntl
 import os
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Protocol
 
 LOCK = "lock"
 
 
+def numbered(names: Sequence[str], ending: str) -> list[int]:
+    """The numbers of files named by sixteen hexadecimal digits and this ending, in order."""
+    return sorted(int(n[:16], 16) for n in names if n.endswith(ending) and len(n) == 16 + len(ending))
+
+
 class Files(Protocol):
     """What the store asks of a disk. Anything may raise OSError; after `sync` and `sync_folder` it must last."""
 
--- a/otterquay/store/format1.py
+++ b/otterquay/store/format1.py
@@ -13,6 +13,8 @@
 import msgspec
 import xxhash
 
+from otterquay.store.files import numbered
+
 MAGIC, VERSION = b"oqstore\0", 1
 _HEAD = struct.Struct("<8sHBxIQQ")  # magic, version, kind, reserved, number, tag
 _RECORD = struct.Struct("<IBxxxQQQ")  # length, kind, sequence, synced, tag
@@ -105,18 +107,14 @@
     return None
 
 
-def _numbers(names: Sequence[str], ending: str) -> list[int]:
-    return sorted(int(n[:16], 16) for n in names if n.endswith(ending) and len(n) == 16 + len(ending))
-
-
 def present(names: Sequence[str]) -> bool:
     """Whether files of this version are there."""
-    return bool(_numbers(names, ".base") or _numbers(names, ".log"))
+    return bool(numbered(names, ".base") or numbered(names, ".log"))
 
 
 def amounts(names: Sequence[str], read: Callable[[str], bytes]) -> dict[tuple[str, bytes], bytes]:
     """All that a folder of this version holds; Bad with the file's name in front of the reason."""
-    bases, logs = _numbers(names, ".base"), _numbers(names, ".log")
+    bases, logs = numbered(names, ".base"), numbered(names, ".log")
     upto, sequence, ended = bases[-1] if bases else 0, 0, not bases
     held: dict[tuple[str, bytes], bytes] = {}
     files = [(BASE, upto, f"{upto:016x}.base")] if bases else []
--- a/otterquay/store/recovery.py
+++ b/otterquay/store/recovery.py
@@ -31,18 +31,15 @@
     Store,
     StoreFailed,
     hint_name,
+    new_segment,
     segment_name,
 )
-from otterquay.store.files import Files
+from otterquay.store.files import Files, numbered
 from otterquay.store.index import place
 
 LOOKS = 8  # times that reading beside a writer begins anew
 
 
-def _numbers(names: list[str], ending: str) -> list[int]:
-    return sorted(int(n[:16], 16) for n in names if n.endswith(ending) and len(n) == 16 + len(ending))
-
-
 async def open_store(
     files: Files, log: Logger, clock: Callable[[], float], options: Options | None = None, look: bool = False,
     hints: bool = True,
@@ -82,7 +79,7 @@
     for name in names:
         if name.endswith(PART):
             files.remove(name)
-    segments = _numbers(names, ".seg")
+    segments = numbered(names, ".seg")
     if IDENTITY in names:
         _identity(files)
         if format1.present(names):  # an upgrade had lasted, and they had not all gone
@@ -98,10 +95,7 @@
     if old:
         await _upgrade(store, names)
     else:
-        files.create(segment_name(1))
-        files.append(segment_name(1), fm.write_head(fm.SEGMENT, 1, 1))
-        await files.sync(segment_name(1))
-        await files.sync_folder()
+        await new_segment(files, 1, 1)
     part = IDENTITY + PART
     files.create(part)
     files.append(part, fm.write_head(fm.IDENTITY, 0, 0))
@@ -155,7 +149,7 @@
     files = store.files
     names = files.names()
     _identity(files)
-    numbers = _numbers(names, ".seg")
+    numbers = numbered(names, ".seg")
     if not numbers:
         raise Damaged(segment_name(1), 0, "all segments are gone")
     for expected, number in enumerate(numbers, numbers[0]):
@@ -316,7 +310,7 @@
     """Read every record and entry, also those that opening takes from hints. OSError."""
     report = Report()
     sequence: int | None = None
-    for number in _numbers(files.names(), ".seg"):
+    for number in numbered(files.names(), ".seg"):
         sequence = _read_whole(files, number, report, sequence, lambda entry: None)
     return report
 
@@ -367,7 +361,7 @@
         else:
             held[entry.table, entry.key] = entry
 
-    for number in _numbers(damaged.names(), ".seg"):
+    for number in numbered(damaged.names(), ".seg"):
         sequence = _read_whole(damaged, number, report, sequence, take)
     store = await open_store(to, log, clock)
     if store.tables() or store.sequence:
@@ -387,8 +381,8 @@
     """
     if to.names():
         raise FileExistsError("the folder to copy to is not empty")
-    for _ in range(8):
-        numbers = _numbers(files.names(), ".seg")
+    for _ in range(LOOKS):
+        numbers = numbered(files.names(), ".seg")
         try:
             sizes = {n: files.size(segment_name(n)) for n in numbers}  # opens each: from here on it can be read
         except FileNotFoundError:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -690,7 +690,7 @@
     files[name] = bytes(data)
     touched = {(e.table, e.key) for e in fm.entries(broken, int(name[:16], 16))}
     damaged, to = FaultDisk(files), FaultDisk()
-    report = tt.drive_all(rc.salvage(damaged, to, silent(), clock))
+    report = asyncio.run(rc.salvage(damaged, to, silent(), clock))
     assert report.bad == [(name, broken.start, "a record's tag does not fit")]
     assert report.missing == [(broken.sequence, broken.sequence)]
     store = tt.drive(opened(to, clock=clock))
@@ -699,7 +699,7 @@
     assert all(found.get(spot) == want.get(spot) for spot in {*found, *want} - touched)
     assert damaged.contents() == files
     with pytest.raises(StoreFailed, match="not empty"):
-        tt.drive_all(rc.salvage(FaultDisk(REFERENCE.files), to.killed(), silent(), clock))
+        asyncio.run(rc.salvage(FaultDisk(REFERENCE.files), to.killed(), silent(), clock))
 
 
 def test_the_commands_tell_what_is_there_copy_and_salvage(tmp_path: Path) -> None:
