Module: attempts and servers are remembered no longer than a rule or a score asks for them

Seen: tries of released builds, the agent's sends and each server's got an entry a send and were cut only where a trial or a cold server asked; servers that left stayed for ever, with eight-deep series, and counted as mates in the breaker. Change: each bin cuts them to the exposure and the fall window; a server that left is forgotten after 60 s, not while an attempt is out at it and not while what it was sent counts against its cold budget. Nothing that forbids goes early. Ruled out: forgetting at once, as complaints come seconds later and a list may flap. Tests: fail before. Result: under 1,000 entries at 100 a second, however long.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -30,6 +30,7 @@
 OVER_SHARE, LEAST_PART = 1.25, 0.5  # times its share a tenant is over it; part of a bound open to least worth
 TRY_LEAST, TRY_MOST, FADE, SHED = 1.2, 1.6, 0.9, 0.7  # tried over what brought worth; a bin; weight of shed
 DEAD_OK, HEAL, STOOD_MS, EARLY_MS = 0.4, 0.04, 100.0, 1.0  # health avoided; regained a bin; stood; a timer's
+GONE_MS, KEYS_MOST = 60000.0, 2 ** 18  # a server that left is forgotten; keys kept where there is no way back
 UNRUN = {it.Status.FULL, it.Status.CONNECT_FAILED, it.Status.MOOT}  # outcomes that prove no run
 NOTE = struct.Struct("<BHB")  # version, build, classes; then the evidence row as floats
 
@@ -48,6 +49,7 @@
         self.open, self.ready = dict[tuple[int, int], float](), True  # own attempts out there: when sent
         self.ok, self.slow, self.limit, self.shrunk, self.seen, self.errors = 1.0, 1.0, OPEN_FIRST, 0.0, 0, 0
         self.load, self.told = 0.0, -math.inf  # requests it held by its last report, and when that came
+        self.started, self.left = entry.started_ms, now  # 0: long ago; when it was last seen ready
         self.bin: dict[int, list[float]] = {}  # by class this bin's latencies, nan for an error
         self.series: dict[int, deque[float]] = {}  # by metric, two a class: errors, latency
 
@@ -277,6 +279,7 @@
     def _close_bin(self) -> None:  # roll the series, extend the baseline, share evidence, score and vote
         self.bins += 1
         self.tried = [(tried * FADE, gain * FADE) for tried, gain in self.tried]
+        self._drop_old()
         for server in filter(lambda s: s.series or s.bin, self.servers.values()):
             server.close()
         judged = self.news.build > 0 and self.news.phase in (it.Phase.TRIAL, it.Phase.RELEASED)
@@ -304,6 +307,20 @@
         if judged:
             self._judge(scores, trial, earlier, own)
 
+    def _drop_old(self) -> None:  # what no rule or score asks for; days would heap it up
+        since, fall = self.now - self.roll.window_ms - 2 * self.s.tick_ms, self.now - self.s.rules.fall_ms
+        self.tries = {at: times for at, times in self.tries.items() if recent(times, since)}
+        recent(self.sent, fall)
+        for times in self.asked:
+            recent(times, since)
+        for times in self.by_tenant:
+            recent(times, self.now - 1e3)
+        for server in list(self.servers.values()):
+            server.left = self.now if server.ready else server.left
+            # one that comes back by then is the same; what it was sent must fade before it is forgotten
+            if not recent(server.sent, fall) and not server.open and self.now - server.left > GONE_MS:
+                del self.servers[server.id]
+
     def _distances(self, ones: list[Server], others: list[Server], metric: int) -> list[float]:  # of pairs
         draw, times = self.rng.choice, PAIRS_A_BIN if ones and others else 0
         pairs = [(draw(ones).series[metric], draw(others).series[metric]) for _ in range(times)]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -94,6 +94,35 @@
     return it.Status.ERROR if bad else it.Status.OK, rng.lognormvariate(4.6, 0.5)
 
 
+def test_attempts_are_remembered_no_longer_than_a_rule_asks_for_them() -> None:
+    """Released builds' attempts and each server's were never let go: one entry a send for ever."""
+    drive, sizes = Drive(servers=4), list[int]()
+    for _ in range(4):
+        play(drive, good, 10.0, rate=100.0)
+        agent = drive.agent
+        sizes.append(sum(map(len, agent.tries.values())) + len(agent.sent)
+                     + sum(len(s.sent) for s in agent.servers.values()))
+    assert max(sizes) < 100 * (4.0 + 2.0 + 2.0 + 2.0), sizes
+
+
+def test_a_server_that_left_is_forgotten_but_not_while_it_must_be_remembered() -> None:
+    drive = Drive(servers=2)
+    drive.list(entry(1, state=it.ServerState.GONE))
+    (send,) = sends(drive.ask(budget=3000.0)[1])
+    drive.list(entry(2, state=it.ServerState.GONE))
+    drive.tick(rules.GONE_MS - 1000.0)
+    assert set(drive.agent.servers) == {1, 2}, "complaints and restarts are still told apart"
+    drive.tick(2000.0)
+    assert set(drive.agent.servers) == {send.server}, "one with an attempt out stays"
+    drive.end(send)
+    drive.tick(500.0)
+    assert not drive.agent.servers
+    for i in range(2000):
+        drive.list(entry(i, state=it.ServerState.GONE))
+    drive.tick(rules.GONE_MS + 1000.0)
+    assert not drive.agent.servers
+
+
 def test_a_timer_that_fires_a_hair_early_is_not_the_last() -> None:
     """The module set no further timer, and never judged, closed a bin or healed a server again."""
     drive = Drive()
