Module: keys where there is no way back are bounded; at the bound more is forbidden

Ruled out: dropping the oldest, which would free a key early. Change: only answers of the newest build or a later one are noted. When the next build is offered, keys of a released one become one floor (all earlier servers run it), keys of one still on trial are free (it has been taken off: users' rule 5 speaks of the newest build). A store may tell key 0 for all. Could harm: a trial that answers more keys than that through one agent gets no new ones, so its step waits. Tests fail before.

--- a/otterquay/interface.py
+++ b/otterquay/interface.py
@@ -355,7 +355,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Restored:
-    """What was kept over a restart: attempts as (build, class, when sent), keys as (key, build that answered)."""
+    """What was kept over a restart: attempts as (build, class, when sent), keys as (key, build that answered).
+
+    Key 0 stands for every key.
+    """
 
     attempts: tuple[tuple[int, int, float], ...]
     answered: tuple[tuple[int, int], ...]
--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -130,7 +130,8 @@
         self.sent, self.asked = list[float](), [list[float]() for _ in settings.classes]
         self.by_tenant = [list[float]() for _ in settings.tenants]
         self.tried = [(0.0, 0.0)] * (self.n + len(settings.tenants))  # by class, tenant: sent, brought worth
-        self.answered: dict[int, int] = {}  # key: highest build that answered it, where there is no way back
+        # where there is no way back: the highest build that answered a key, and the least one for any key
+        self.answered, self.floor = dict[int, int](), 0
         self.usual, self.calm = [c.aim_ms / 4 for c in settings.classes], [0] * self.n  # how many it rests on
         fields, held = enumerate(settings.report_fields), (it.LoadField.INFLIGHT, it.LoadField.QUEUE)
         self.gauge = next((i for i, f in fields if f in held and settings.reports_in_answers), None)
@@ -192,15 +193,22 @@
         old, self.news, self.ranked = self.news, news, -1
         if news.build != old.build:
             self._forget()
+            # keys of a build released: all earlier servers run it, so none need be known by itself; one still
+            # on trial when the next is offered has been taken off, which frees its keys
+            settled = [b for b in self.answered.values() if b <= old.build and old.phase is it.Phase.RELEASED]
+            self.floor = max(settled, default=self.floor)
+            self.answered = {key: b for key, b in self.answered.items() if b >= news.build}
         if (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.points.clear()
             self.late_bins, self.worse_bins, self.last_vote = 0, 0, (0, 0, it.Verdict.NONE)
-            self.answered = {} if news.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN) else self.answered
+            if news.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN):
+                self.answered, self.floor = {}, 0
 
     def _restored(self, kept: it.Restored) -> None:  # against a cap or a key that each restart frees anew
         for build, cls, sent in kept.attempts:  # only forbids; may refuse too long: no asks are kept
             self.tries.setdefault((build, cls), []).append(sent)
         self.answered.update(kept.answered)
+        self.floor = max(self.floor, self.answered.pop(0, 0))
 
     # --- evidence ---
     def _book(self, row: list[float], build: int, at: int, *values: float) -> None:  # at a class or levels
@@ -505,7 +513,11 @@
         if not (job := self.jobs.get(event.request)):
             return
         if event.status is it.Status.OK and self.roll.one_way and (key := job.request.key):
-            self.answered[key] = max(self.answered.get(key, 0), ran.server.entry.build)
+            build, newest = ran.server.entry.build, self.news.build
+            if build >= newest and build > self.floor:
+                self.answered[key] = max(self.answered.get(key, 0), build)
+            if len(self.answered) > KEYS_MOST and self._cap(newest) is None:  # released: then for every key
+                self.answered, self.floor = {k: b for k, b in self.answered.items() if b > newest}, newest
         if event.over:
             worth = self.s.classes[job.cls].late_worth if self.now > job.aim else 1.0
             self._over(job, worth if event.status is it.Status.OK else 0.0)
@@ -560,8 +572,11 @@
     def may_send(self, job: Job, server: Server) -> bool:  # all five rules: first sends, retries, copies
         rules, limits, cls, entry = self.s.rules, self.s.limits, self.s.classes[job.cls], server.entry
         over = job.id not in self.jobs or self.now >= job.until or len(job.attempts) >= limits.max_attempts
-        way_back = self.answered.get(job.request.key, 0) > entry.build  # filled only where there is none
-        if over or way_back or not server.ready:
+        # where there is no way back; a key that could no longer be kept goes to no build on trial
+        key = job.request.key
+        full = key and len(self.answered) >= KEYS_MOST and key not in self.answered
+        way_back = key and max(self.answered.get(key, 0), self.floor) > entry.build
+        if over or way_back or not server.ready or (full and self._cap(entry.build) is not None):
             return False  # rules 1, 5 and 3: nothing for what is over, nothing to what drains or is gone
         ran = [a for a in job.attempts if not a.unrun]
         if ran:  # rule 2
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -94,6 +94,30 @@
     return it.Status.ERROR if bad else it.Status.OK, rng.lognormvariate(4.6, 0.5)
 
 
+def test_after_days_of_builds_servers_and_keys_no_size_grows_and_decisions_are_as_at_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(rules, "KEYS_MOST", 300)
+    tenants = (it.Tenant("a", 10.0, 0.5), it.Tenant("b", 10.0, 0.5))
+    days = Days(settings(tenants=tenants, rollout={"one_way": True, "tally_ms": 1000.0}))
+    days.news(1, 1, it.Phase.RELEASED, 1.0)
+    days.fleet(1, cold=False)
+    play(days, good, 10.0, rate=40.0)
+    days.settle()
+    sizes, verdicts = list[int](), list[set[it.Verdict]]()
+    for build in range(2, 9):
+        verdicts.append(release(days, build))
+        sizes.append(len(pickle.dumps(days.agent)))
+        agent = days.agent
+        assert len(agent.servers) <= 8 and len(agent.answered) <= 301 and not agent.jobs and not agent.away
+        assert sum(map(len, agent.tries.values())) + sum(map(len, agent.asked)) + len(agent.sent) < 1000
+    assert max(sizes[3:]) <= 1.1 * max(sizes[:3]), sizes
+    assert all(it.Verdict.ON in v and it.Verdict.BACK not in v for v in verdicts), "a good build, each time"
+    days.news(9, 0, it.Phase.TRIAL, 0.14)
+    days.list(entry(20, 9, started=days.now))
+    assert {v.verdict for v in play(days, newest_fails, 30.0)} == {it.Verdict.BACK}
+
+
 def test_attempts_are_remembered_no_longer_than_a_rule_asks_for_them() -> None:
     """Released builds' attempts and each server's were never let go: one entry a send for ever."""
     drive, sizes = Drive(servers=4), list[int]()
@@ -123,6 +147,43 @@
     assert not drive.agent.servers
 
 
+@pytest.mark.parametrize("phase", [it.Phase.TRIAL, it.Phase.RELEASED])
+def test_keys_at_their_bound_forbid_more_never_less(phase: it.Phase, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(rules, "KEYS_MOST", 10)
+    drive = Drive(settings(rollout={"one_way": True}), servers=0)
+    drive.news(2, 1, it.Phase.TRIAL, 1.0)
+    drive.news(2, 1, phase, 1.0)
+    drive.list(entry(9, build=2))
+    served = list[int]()
+    for key in range(1, 31):
+        drive.now += 500.0
+        for send in sends(drive.ask(key=key)[1]):
+            drive.end(send)
+            served.append(key)
+    assert len(drive.agent.answered) <= 11
+    assert len(served) == (10 if phase is it.Phase.TRIAL else 30), "on trial, what cannot be kept is not sent there"
+    drive.list(entry(9, build=2, state=it.ServerState.GONE), entry(1, build=1))
+    assert not any(sends(drive.ask(key=key)[1]) for key in served), "all of them are still known or covered"
+    assert sends(drive.ask(key=99)[1]) if phase is it.Phase.TRIAL else not sends(drive.ask(key=99)[1])
+    assert sends(drive.ask()[1]), "what has no key is bound to nothing"
+    drive.news(2, 1, it.Phase.GOING_BACK, 0.0)
+    for key in (*served[:3], 99):
+        (send,) = sends(drive.ask(key=key)[1])
+        drive.end(send)
+
+
+def test_keys_of_a_released_build_become_one_floor_and_those_of_one_taken_off_are_free() -> None:
+    for phase, bound in ((it.Phase.RELEASED, True), (it.Phase.TRIAL, False)):
+        drive = Drive(settings(rollout={"one_way": True}), servers=0)
+        drive.news(2, 1, it.Phase.TRIAL, 1.0)
+        drive.list(entry(9, build=2))
+        drive.end(sends(drive.ask(key=5)[1])[0])
+        drive.news(2, 1, phase, 1.0)
+        drive.news(3, 0, it.Phase.TRIAL, 0.14)
+        drive.list(entry(9, build=2, state=it.ServerState.GONE), entry(1, build=1))
+        assert not drive.agent.answered and bool(sends(drive.ask(key=5)[1])) is not bound
+
+
 def test_a_timer_that_fires_a_hair_early_is_not_the_last() -> None:
     """The module set no further timer, and never judged, closed a bin or healed a server again."""
     drive = Drive()
@@ -133,6 +194,17 @@
     assert not drive.tick(0.0) and drive.agent.bins == bins, "and it counts once"
 
 
+def test_times_and_builds_after_years_are_as_exact_as_at_first() -> None:
+    for now in (0.0, 1e6, 1e12):
+        drive = Drive(servers=4, now=now)
+        drive.news(65534, 1, it.Phase.RELEASED, 1.0)
+        drive.list(*[entry(2**32 - 1 - i, 65534) for i in range(4)], kind=it.ListKind.FULL)
+        play(drive, good, 8.0)
+        drive.news(65535, 0, it.Phase.TRIAL, 0.14)
+        drive.list(entry(20, 65535, started=drive.now))
+        assert {v.verdict for v in play(drive, good, 20.0)} == {it.Verdict.ON}, now
+
+
 # --- the cost of a verdict ---
 class Counted(float):
     """Counts how often it is multiplied with."""
