Module: a server replaced under its name takes over neither complaints nor a warm start

Seen: a complaint names a server by number, so one on an answer of the old process was booked as an error of the new one and its build. A list entry with no start (0) for a server known to be cold made it pass for warm: the cold budget no longer held. Both shown by tests that fail before. Shown false: outcomes, load reports, connections, health, series and budgets of the old one already stayed with it (test_replaced.py, by delta, whole and cached list). At fault: rules.py _complaint, _serverlist and _age. Change: a complaint older than the server is known is passed over; a start that is not told keeps the one that was. Only whole lists walk all servers now, changes no longer do.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -171,13 +171,17 @@
     _started = _timerfired
 
     def _serverlist(self, news: it.ServerList) -> None:
-        whole, self.unwatched = {e.server for e in news.entries}, news.kind is it.ListKind.FAILED
-        for server in self.servers.values():
-            server.ready &= news.kind in (it.ListKind.DELTA, it.ListKind.FAILED) or server.id in whole
+        self.unwatched = news.kind is it.ListKind.FAILED
+        if news.kind in (it.ListKind.CACHED, it.ListKind.FULL):  # whole: what it does not name is gone
+            whole = {e.server for e in news.entries}
+            for server in self.servers.values():
+                server.ready &= server.id in whole
         for entry in news.entries:
             known = self.servers.get(entry.server)
-            # a restart, or another build under a known id: what we knew of it is void and it is cold
-            if not known or (known.entry.build, known.entry.started_ms) != (entry.build, entry.started_ms):
+            # a restart, or another build under a known id: what we knew of it is void and it is cold; a start
+            # that is not told is no restart, nor does it make one warm that was told to be cold
+            started = entry.started_ms or (known.started if known else 0.0)
+            if not known or (known.entry.build, known.started) != (entry.build, started):
                 known = self.servers[entry.server] = Server(entry, self.now, self.s.me)
             known.entry, known.ready = entry, entry.state is it.ServerState.READY
         self.ranked = -1
@@ -241,14 +245,15 @@
             self.calm[cls] += good and calm  # learnt quickly at first: a quiet agent has few
             learn = max(LEARN, 1 / (self.calm[cls] + 1)) * (good and calm)
             self.usual[cls] += (latency - self.usual[cls]) * learn
-            warm = attempt.sent - server.entry.started_ms > self.s.rules.cold_ms + 2 * BIN_MS
+            warm = attempt.sent - server.started > self.s.rules.cold_ms + 2 * BIN_MS
             if warm:  # any build is slow on a cold server
                 self._book(self.fresh, build, 4 * self.n, 1.0, log)
         if good or status is it.Status.ERROR:  # lost connections and full queues tell of machines, not builds
             self._see(server, cls, latency if good else math.nan, 1)
 
     def _complaint(self, event: it.Complaint) -> None:
-        if server := self.servers.get(event.server):  # a wrong answer was counted as good when it passed
+        server = self.servers.get(event.server)  # a wrong answer was counted as good when it passed
+        if server and self.now - event.age_ms >= server.listed:  # else one before it, of this id, gave it
             self._see(server, event.cls, math.nan, 0)
 
     def _tally(self, event: it.Tally) -> None:
@@ -563,7 +568,7 @@
         return cap <= 0 or guarded or tries + 1 > self.roll.free + cap * asked
 
     def _age(self, server: Server) -> float:
-        return self.now - server.entry.started_ms if server.entry.started_ms > 0 else math.inf
+        return self.now - server.started if server.started > 0 else math.inf
 
     def _able(self, server: Server) -> float:  # least part of its capacity throughout the fall window
         start, warm = self.s.rules.start_capacity, max(self.s.rules.cold_ms, 1.0)
