A verdict's cost no longer grows with the errors seen, nor a tally's with the fleet

Seen: the chance of x errors was summed over all x: after 1,000,000 errors one verdict took 168 million bytecode instructions against 70,000 after ten, and a note or tally with a huge count held the agent for as long as it said. Every tally looked at every server: 1,364 instructions at 48 servers, 11,732 at 480 (order 0.93). Change: the sum ends where what follows cannot count (the same result, to the bit); the youngest server is looked up once a list. benchmarks/verdict.py measures a verdict, request, tally, list change and refusal at 48 and 480 servers, 540 and 5,400 agents; tests/test_work.py holds the growth by counting instructions, never by the clock.

--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -114,10 +114,14 @@
 
 
 def tail(n: float, x: float, p: float) -> float:  # chance of x or more errors in n, by Poisson's law
-    term = total = math.exp(-min(n * p, 700.0))
+    if x < 1 or n * p >= 700:
+        return 1.0
+    term = total = math.exp(-n * p)
     for k in range(1, round(x)):
         term, total = term * n * p / k, total + term * n * p / k
-    return max(0.0, 1.0 - total) if x >= 1 and n * p < 700 else 1.0
+        if k > n * p and total + term == total:  # what follows is less still, however many the errors
+            break
+    return max(0.0, 1.0 - total)
 
 
 class Agent:  # hand it every event in order, carry out the actions it returns
@@ -141,6 +145,7 @@
         self.baseline = [deque[float](maxlen=BASELINE_BINS * PAIRS_A_BIN) for _ in range(2 * self.n)]
         self.groups: list[list[list[Server]]] = []  # servers not on trial and on trial: near ones, all
         self.even, self.fleet, self.new = 0.0, 1, 0  # trial's even share, servers ready, build on trial
+        self.youngest: float | None = None  # start of the ready server that started last
         self.on_trial = set[int]()  # all builds on trial that ready servers run
         self.bins, self.ranked, self.healed, self.points = 0, -1, 0, deque[float](maxlen=POINTS_MOST)
         # evidence must be whole somewhere: where agents may talk, all tell a few, spread over their numbers
@@ -184,7 +189,7 @@
             if not known or (known.entry.build, known.started) != (entry.build, started):
                 known = self.servers[entry.server] = Server(entry, self.now, self.s.me)
             known.entry, known.ready = entry, entry.state is it.ServerState.READY
-        self.ranked = -1
+        self.ranked, self.youngest = -1, None
 
     def _stagenews(self, news: it.StageNews) -> None:
         if news.status is not it.Status.OK or news.build < self.news.build:
@@ -264,7 +269,9 @@
         # level against the earlier build's of the class and time: what slows all or one class is no build's
         then, old, old_ms = self.told.get(event.cls, (-math.inf, 0, 0.0))
         cold, n = self.s.rules.cold_ms + self.roll.tally_ms + event.age_ms, min(good, old)
-        warm = all(self._age(s) > cold for s in self.servers.values() if s.ready)
+        if self.youngest is None:  # once a list, not once a tally
+            self.youngest = max((s.started for s in self.servers.values() if s.ready), default=0.0)
+        warm = self.youngest <= 0 or self.now - self.youngest > cold
         if event.build == self.news.build and warm and n > 0 and when - then < 1.5 * self.roll.tally_ms:
             self._book(self.tallied, event.build, 4 * self.n, n, n * math.log(event.mean_ms / old_ms), n, 0.0)
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -216,6 +216,25 @@
         return float(other) * float(self)
 
 
+def test_chance_of_many_errors_is_not_summed_over_all_of_them() -> None:
+    """One verdict took as many steps as there were errors; an authentic note or a tally of millions held it up."""
+    Counted.times = 0
+    assert rules.tail(Counted(1e6), 1e6, 1e-4) == 0.0 and rules.tail(Counted(1e9), 1e9, 0.5) == 1.0
+    assert Counted.times < 400
+    for n, x, p in ((20, 3, 0.01), (400, 30, 0.06), (1e5, 700, 0.0065), (5, 1, 0.2)):
+        whole = 1.0 - math.fsum(math.exp(k * math.log(n * p) - n * p - math.lgamma(k + 1)) for k in range(round(x)))
+        assert rules.tail(n, x, p) == pytest.approx(whole, abs=1e-9)
+
+
+def test_a_note_of_huge_counts_and_a_tally_of_millions_hold_nobody_up() -> None:
+    drive = offered(config=settings(agents=2, limits={"peers": True}))
+    row = [1e38, 1e37, 1e38, 1.0] * 4
+    drive.give(it.PeerMessage(1, rules.NOTE.pack(1, 2, 3) + struct.pack("<16f", *row)))
+    drive.give(it.Tally(2, 0, 2**32 - 1, 2**31, 100.0, 10.0))
+    play(drive, good, 2.0)
+    assert drive.agent.bins > 0
+
+
 # --- list and desk ---
 def server(number: int, life: int = 1, state: str = "ready", **more: Any) -> news.Entry:
     return news.Entry(number, "a", state, 1, f"127.0.0.1:{1 + number % 60000}", life, **more)  # type: ignore[arg-type]
--- a/tests/test_work.py
+++ b/tests/test_work.py
@@ -7,6 +7,7 @@
 import pytest
 from helpers import Drive, entry, sends, settings
 
+from benchmarks.verdict import Driven, instructions, steps
 from otterquay import interface as it
 from otterquay import rules
 
@@ -58,3 +59,27 @@
     assert len(lines) <= 630 and max(map(len, lines)) <= 110
     imports = {line.split()[1].split(".")[0] for line in lines if line.startswith(("import ", "from "))}
     assert imports <= {"math", "random", "struct", "bisect", "collections", "statistics", "otterquay"}
+
+
+def test_work_grows_with_the_fleet_only_where_all_of_it_must_be_looked_at() -> None:
+    """Bytecode instructions at 48 and at 480 servers. A tally once looked at every server."""
+    small, large = steps(48), steps(480)
+    grown = {what: large[what] / small[what] for what in small}
+    assert grown["request"] < 1.1 and grown["tally"] < 1.1, "a request and a tally look at few servers"
+    assert grown["verdict"] < 10 and grown["change"] < 10 and grown["refusal"] < 10, "no more than all, once"
+    pairs = 2 * 2 * 2 * rules.PAIRS_A_BIN  # metrics of two classes, trial and baseline
+    assert small["verdict"] < pairs * 4000, "most of a verdict is a fixed number of pairs"
+
+
+def test_work_does_not_grow_with_the_agents_told_of() -> None:
+    few, many = steps(48, 540), steps(48, 5400)
+    assert few == many
+
+
+def test_a_verdict_after_many_errors_costs_no_more_than_after_few() -> None:
+    def after(errors: float) -> int:
+        driven = Driven(48)
+        driven.agent._book(driven.agent.fresh, 2, 0, 2 * errors, errors)
+        return instructions(driven.verdict)
+
+    assert after(1e6) < 1.2 * after(10.0)
