A load report with a number too large for a float no longer costs the client its answer

Seen: `Endpoint-Load-Metrics: JSON {"cpu_utilization": 1000...}` with 400 digits raised OverflowError in orca.parse, in the middle of the attempt's end: the client never got its answer (6 s after a budget of 1 s the request was still held) and the module never heard of the outcome. Ruled out: NaN, infinities, deep nesting, bytes that are no ASCII: they were refused before, and are tested now. At fault: protocol/orca.py, float() of an int, OverflowError not caught. Change: such a report counts as none. Test: fails before.

--- a/otterquay/protocol/orca.py
+++ b/otterquay/protocol/orca.py
@@ -42,7 +42,7 @@
         else:
             return ()
         found = tuple(values[NAMES[field]] for field in fields)
-    except (ValueError, KeyError, RecursionError):
+    except (ValueError, KeyError, RecursionError, OverflowError):
         return ()
     return found if all(math.isfinite(x) and x >= 0 for x in found) else ()
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -252,6 +252,21 @@
 
 
 # --- the agent ---
+@pytest.mark.parametrize("report", [
+    b"JSON {\"cpu_utilization\": 1" + b"0" * 400 + b", \"named_metrics\": {\"inflight\": 1}}",
+    b"JSON " + b"[" * 5000, b"TEXT cpu_utilization=nan,named_metrics.inflight=inf", b"\xff\xfe",
+    b"TEXT " + b"9" * 9000,
+])
+def test_a_load_report_that_cannot_be_costs_no_answer(report: bytes) -> None:
+    """A number too large for a float left the request without any answer."""
+    assert orca.parse(report, (it.LoadField.INFLIGHT, it.LoadField.UTIL)) == ()
+
+    async def work() -> None:
+        async with Rig(servers=1) as rig:
+            rig.servers[0].behave = raw(write_response(200, [(b"endpoint-load-metrics", report)], b""))
+            assert kind(await rig.get()) == "served"
+    if len(report) < 1000:
+        run(work)
 
 
 class FailsOnce(rules.Agent):
