Peer messages: a number far ahead shifts the replay window no further than it is wide

Seen: the window was shifted left by the difference to the highest number, up to 2^64 bits: an authentic datagram with a far number (a peer gone wrong; the tag is checked first) took all memory or ended the datagram's handling. At fault: protocol/peer.py _Inbound.fresh. Change: the shift ends at the window's width, which gives the same window. Test: fails before (OverflowError).

--- a/otterquay/protocol/peer.py
+++ b/otterquay/protocol/peer.py
@@ -55,7 +55,8 @@
 
     def fresh(self, number: int) -> bool:
         if number > self.highest:
-            self.seen = (self.seen << (number - self.highest) | 1) & ((1 << WINDOW) - 1)
+            ahead = min(number - self.highest, WINDOW)  # a shift by all that a datagram can name has no end
+            self.seen = (self.seen << ahead | 1) & ((1 << WINDOW) - 1)
             self.highest = number
             return True
         behind = self.highest - number
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -306,6 +306,25 @@
     return one, two
 
 
+def test_a_number_far_ahead_costs_no_memory_and_what_lies_behind_it_is_refused() -> None:
+    """The window was shifted by any number an authentic datagram names: 2^62 bits, or the loop for long."""
+    one, two = linked()
+    out = one._out[1]
+    out.number = 2**62
+    assert two.receive(one.tell(1, b"far")[0].datagram) == [Deliver(0, b"far")]
+    assert two._in[0].seen < 2**64
+    out.number = 5
+    with pytest.raises(PeerRefused):
+        two.receive(one.tell(1, b"old")[0].datagram)
+
+
+def test_words_for_one_that_never_answers_are_few() -> None:
+    link = PeerLink(0, 3, bytes(32), random.Random(1))
+    for i in range(1000):
+        link.tell(None, bytes([i % 256]))
+    assert {len(out.held) for out in link._out.values()} == {8} and link.dropped == 2 * (1000 - 8)
+
+
 # --- chat ---
 
 
