Store: what waits for a disk that hangs is bounded; then the store fails and says so

Seen: batches given while a sync hangs waited without bound. Ruled out: dropping one, as order is promised. Change: over 128 MiB waiting the store becomes read-only, with a log line; reads go on, and no request waits for it. Test: fails before.

--- a/otterquay/store/engine.py
+++ b/otterquay/store/engine.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import dataclass
@@ -24,6 +25,7 @@
 
 PART, IDENTITY = ".part", "format"
 GROUP_MOST = 4 * 1024 * 1024  # bytes of batches after which a sync takes no further ones
+PENDING_MOST = 128 * 1024 * 1024  # bytes of batches that may wait for the disk; one further behind fails
 MOVE_LEAST, MOVE_LOOKS = 64 * 1024, 512  # bytes that a step of compaction may move, entries it may look at
 HINT_KEYS = 2048  # keys in a piece of a hint; between pieces other work of the loop goes on
 
@@ -149,7 +151,8 @@
         self.time = self.clock_at = 0  # ms of store time at the last look, and what the clock said then
         self.ops: Ops = {}
         self.moved_bytes = self.written_bytes = 0
-        self._pending: deque[tuple[Sequence[Change], asyncio.Future[None]]] = deque()
+        self._pending: deque[tuple[Sequence[Change], asyncio.Future[None], int]] = deque()
+        self._waiting = 0  # bytes of those
         self._writer: asyncio.Task[None] | None = None
         self._others: set[asyncio.Task[None]] = set()
         self._cursor: Iterator[tuple[fm.Entry, int]] | None = None
@@ -222,7 +225,7 @@
 
     def submit(self, changes: Sequence[Change]) -> None:
         """As `commit`, without waiting: what fails is in the log, and the store is read-only then."""
-        if not self.failed:
+        with contextlib.suppress(StoreFailed):
             self._take(changes).add_done_callback(lambda done: done.exception())
 
     def _take(self, changes: Sequence[Change]) -> asyncio.Future[None]:
@@ -239,8 +242,12 @@
             size += fm.ENTRY_SIZE + fm.TABLE_MOST + len(change.key) + len(value)
         if size > fm.BATCH_MOST:
             raise ValueError(f"a batch of about {size} bytes, at most {fm.BATCH_MOST} are taken")
+        if self._waiting + size > PENDING_MOST:  # to leave one out would break the order of those after it
+            self._fail(OSError(f"the disk does not keep up, {self._waiting} bytes wait"), [])
+            raise StoreFailed(self.failed or "")
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._pending.append((list(changes), done))
+        self._pending.append((list(changes), done, size))
+        self._waiting += size
         self._wake()
         return done
 
@@ -319,7 +326,9 @@
         moves = self._moves() if self._behind() else []
         group, size = [], 0
         while self._pending and size < GROUP_MOST:
-            group.append(self._pending.popleft())
+            changes, future, waited = self._pending.popleft()
+            group.append((changes, future))
+            self._waiting -= waited
             size += sum(len(c.key) + (len(c.value) if isinstance(c, Put) else 0) for c in group[-1][0])
         if not group and not moves:
             return
@@ -373,10 +382,11 @@
     def _fail(self, error: Exception, futures: list[asyncio.Future[None]]) -> None:
         self.failed = self.failed or f"{type(error).__name__}: {error}"
         self.log.error("store_read_only", reason=self.failed)
-        for future in [*futures, *(f for _, f in self._pending)]:
+        for future in [*futures, *(f for _, f, _ in self._pending)]:
             if not future.done():
                 future.set_exception(StoreFailed(self.failed))
         self._pending.clear()
+        self._waiting = 0
 
     async def _roll(self) -> None:
         """Close the segment. The next one lasts before the record that says it must be there."""
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -329,3 +329,27 @@
 
 
 # --- the store ---
+def test_a_store_whose_disk_hangs_fails_before_memory_does(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(en, "PENDING_MOST", 100_000)
+
+    async def work() -> None:
+        disk, hangs = FaultDisk(), asyncio.Event()
+        store = await open_store(disk, silent(), asyncio.get_running_loop().time)
+        await store.commit([Put("t", b"k", b"before")])
+        sync = disk.sync
+
+        async def hung(name: str) -> None:
+            await hangs.wait()
+            await sync(name)
+
+        disk.sync = hung  # type: ignore[method-assign]
+        for i in range(5000):
+            store.submit([Put("t", b"%d" % i, bytes(100))])
+            await asyncio.sleep(0)
+        assert store.failed and "does not keep up" in store.failed and not store._pending and store._waiting == 0
+        assert store.get("t", b"k") == b"before"
+        with pytest.raises(StoreFailed):
+            await store.commit([Put("t", b"k", b"after")])
+        hangs.set()
+        await store.close()
+    run(work)
