Chat: tenants' buckets are let go once full, and a crowd that has gone keeps no slots

Seen: where the settings name no tenants, any client may name one, and each left a token bucket for ever. Every connection took a handshake slot for good, also one that left at once: 100,000 connects in a burst held up whoever came after them by two minutes. Change: a bucket that has filled up again is as good as a new one and goes at the next tick; a connection whose slot would come later than a session is kept (resume_within) is closed, logged, and takes none.

--- a/otterquay/chat/gateway.py
+++ b/otterquay/chat/gateway.py
@@ -161,7 +161,9 @@
         self._relays: dict[int, Wire] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._conns = 0
-        self._pace = Pace(service.chat.handshake_rate, service.chat.handshake_burst)
+        # who waits longer than a session is kept comes too late for it
+        self._pace = Pace(service.chat.handshake_rate, service.chat.handshake_burst,
+                          service.chat.resume_within / 1e3)
         self._server: asyncio.Server | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._stopping = False
@@ -255,8 +257,10 @@
         self._conns += 1
         conn = self._conns
         try:
-            if (wait := self._pace.wait(wire.heard)) > 0:
-                await asyncio.sleep(wait)
+            if (wait := self._pace.wait(wire.heard)) is None:
+                self._log.info("chat_crowded")
+                return
+            await asyncio.sleep(wait)
             async with asyncio.timeout(HANDSHAKE_S):
                 ready = await self._handshake(wire)
             if ready:
--- a/otterquay/chat/hub.py
+++ b/otterquay/chat/hub.py
@@ -183,6 +183,9 @@
     level: float
     at: float
 
+    def full(self, now: float) -> bool:
+        return self.level + (now - self.at) / 1e3 * self.rate >= self.burst
+
     def take(self, now: float) -> bool:
         self.level = min(self.burst, self.level + (now - self.at) / 1e3 * self.rate)
         self.at = now
@@ -355,6 +358,8 @@
         for conn, line in list(self._lines.items()):
             if line.session is None and self._now - line.since >= self._s.hello_within:
                 self._shut(conn, ms.NO_HELLO, "no hello in time")
+        # one that has filled up again is as good as a new one, and tenants may be any name
+        self._buckets = {name: one for name, one in self._buckets.items() if not one.full(self._now)}
         for session in list(self._sessions.values()):
             if session.conn is None and self._now - session.detached >= self._s.resume_within:
                 self.counts["expired"] += 1
