Feeds: words that cannot be are refused alone, a server has one start, one vote waits

Seen, each shown on the agent as it was: - A trial at a stage beyond the settings, or a build over 65535, made the module fail on its timer, which it then never set again: no bin closed any more, no vote, for ever (0 timers in 2 s against 4). - A list entry with a number below zero ended the task that follows the list, where a store is kept; any entry that could not be read hid the whole list, for good, as the whole list held it too. - A server replaced by the same build with no age told was taken for the same process, or for warm; starts were kept for ever unless a whole list came; addresses always. - Requests went out on keep-alive connections to the process of before, and their resets counted for the new one. - With one_way, a key was written to the store for the build that the list named at the answer, not the one that answered, or not at all where the server had left: after a restart it could go back. - With the desk out of reach votes queued without bound and went out later, stale. Change: news.py states what each number may be; an entry that cannot be read is left out alone, with a log line; the book of the list holds 16,384 servers and as many that left; a new incarnation with no age told began now; connections to a process that has ended close, busy ones after their call; the attempt remembers its build; only the newest vote waits; a fault of a feed's consumer ends its connection, not the feed; a module that fails on its timer is woken again after 500 ms. Keys in the store are bounded as in the module.

--- a/otterquay/agent/back.py
+++ b/otterquay/agent/back.py
@@ -43,6 +43,7 @@
     call: Call | None = None
     task: asyncio.Task[None] | None = None
     closed: bool = False
+    spent: bool = False  # its process was replaced: it carries its call to the end and no other
 
 
 @dataclass(slots=True)
@@ -88,6 +89,12 @@
         for connection in self.idle.pop(address, []):
             self._close(connection)
 
+    def retire(self, address: str) -> None:
+        """The process behind this address has ended: no connection to it may carry what is sent to the next."""
+        self.close_idle(address)
+        for connection in self.open:
+            connection.spent = connection.spent or connection.address == address
+
     def close(self) -> None:
         """Close everything; calls that are out end as closed or not connected."""
         if self._sweeper:
@@ -112,7 +119,7 @@
         connection, call.connection = call.connection, None
         if connection:
             connection.call = None
-            if answer and answer.keep_alive and not connection.closed:
+            if answer and answer.keep_alive and not connection.closed and not connection.spent:
                 connection.idle_since = asyncio.get_running_loop().time()
                 self.idle.setdefault(call.address, []).append(connection)
                 self._sweep_later()
--- a/otterquay/agent/feeds.py
+++ b/otterquay/agent/feeds.py
@@ -6,12 +6,13 @@
 
 from __future__ import annotations
 
-import math
+from collections import OrderedDict
 from collections.abc import Sequence
 
 import msgspec
 
 from otterquay import interface as it
+from otterquay.config.units import parse_address
 from otterquay.protocol import news
 
 STATES = {"ready": it.ServerState.READY, "draining": it.ServerState.DRAINING, "gone": it.ServerState.GONE}
@@ -21,6 +22,10 @@
 }
 
 
+LISTED_MOST = 16384  # servers in the list; further ones are refused
+GONE_MOST = 16384  # servers that left whose last start is kept, so that one that comes back is known again
+
+
 class Gap(Exception):
     """News that does not follow on what is held."""
 
@@ -41,20 +46,28 @@
 
 
 class FleetBook:
-    """The list held, and how servers are reached."""
+    """The list held, and how servers are reached. `refused` and `ended` tell of the news taken last: entries that
+    were not taken, and addresses whose process has ended or was replaced."""
 
     def __init__(self, zones: Sequence[str]) -> None:
         self._zones = {name: i for i, name in enumerate(zones)}
         self._epoch, self._version = "", -1
-        self._started: dict[tuple[int, int], float] = {}
+        # incarnation of a server and the start told for it: the listed, and the latest of those that left
+        self._lives: dict[int, tuple[int, float]] = {}
+        self._gone: OrderedDict[int, tuple[int, float]] = OrderedDict()
         self.entries: dict[int, news.Entry] = {}
-        self.address: dict[int, str] = {}
         self.refused: list[str] = []
+        self.ended: list[str] = []
+
+    def address(self, server: int) -> str | None:
+        """Where a server that is listed is reached."""
+        entry = self.entries.get(server)
+        return entry.address if entry else None
 
     def cached(self, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
         """The list of before a restart: ages as they were written, which takes no server for warmer than it is."""
         event = self._take(it.ListKind.CACHED, fleet, now_ms)
-        self._started = {}
+        self._lives = {}
         return event
 
     def heard(self, id: str, fleet: news.FleetNews, now_ms: float) -> it.ServerList | None:
@@ -71,38 +84,66 @@
         return self._take(kind, fleet, now_ms)
 
     def _take(self, kind: it.ListKind, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
-        self.refused = [f"server {e.server}: unknown zone {e.zone!r}" for e in fleet.entries
-                        if e.zone not in self._zones]
+        self.refused, before = [], dict(self.entries)
         if kind is not it.ListKind.DELTA:
-            self.entries = {}
+            named = {e.server for e in fleet.entries}
+            for server in before.keys() - named:
+                self._left(server)
         told = []
         for entry in fleet.entries:
-            if entry.zone not in self._zones:
+            if problem := self._problem(entry):
+                self.refused.append(f"server {entry.server}: {problem}")
                 continue
+            start = self._start(entry, now_ms)
             if entry.state == "gone":
-                self.entries.pop(entry.server, None)
+                self._left(entry.server)
             else:
                 self.entries[entry.server] = entry
-            self.address[entry.server] = entry.address
-            # the same start must be told as the same time, however late this news came
-            start = -math.inf if entry.age_ms is None else max(now_ms - entry.age_ms, 1e-3)
-            key = entry.server, entry.incarnation
-            start = self._started.setdefault(key, start)
             told.append(it.ServerEntry(
                 entry.server, self._zones[entry.zone], entry.kind, entry.cell, STATES[entry.state],
-                entry.weight, max(start, 0.0), entry.build,
+                entry.weight, start, entry.build,
             ))
-        if kind is not it.ListKind.DELTA:
-            held = {(e.server, e.incarnation) for e in fleet.entries}
-            self._started = {key: at for key, at in self._started.items() if key in held}
+        held = self.entries
+        self.ended = [old.address for server, old in before.items() if server not in held or (
+            held[server].address, held[server].incarnation) != (old.address, old.incarnation)]
         return it.ServerList(kind, fleet.version, tuple(told))
 
+    def _problem(self, entry: news.Entry) -> str:
+        if entry.zone not in self._zones:
+            return f"unknown zone {entry.zone!r}"
+        if len(self.entries) >= LISTED_MOST and entry.server not in self.entries:
+            return f"over {LISTED_MOST} servers are listed"
+        try:
+            parse_address(entry.address)
+        except ValueError as error:
+            return str(error)
+        return ""
+
+    def _left(self, server: int) -> None:
+        self.entries.pop(server, None)
+        if life := self._lives.pop(server, None):
+            self._gone[server] = life
+            if len(self._gone) > GONE_MOST:
+                self._gone.popitem(last=False)
+
+    def _start(self, entry: news.Entry, now_ms: float) -> float:
+        """When this life of the server began, 0 for long ago: the same for one life, however late the news."""
+        life = self._lives.get(entry.server) or self._gone.pop(entry.server, None)
+        if life and life[0] == entry.incarnation:
+            start = life[1]
+        elif entry.age_ms is not None:
+            start = max(now_ms - entry.age_ms, 1e-3)
+        else:  # not told: of one that took the place of another since we knew that, it cannot be long ago
+            start = now_ms if life else 0.0
+        self._lives[entry.server] = entry.incarnation, start
+        return start
+
 
 class DeskBook:
     """Where the newest build stands, by events and by answers to votes, whichever is later."""
 
-    def __init__(self, classes: Sequence[str]) -> None:
-        self._classes = {name: i for i, name in enumerate(classes)}
+    def __init__(self, classes: Sequence[str], stages: int) -> None:
+        self._classes, self._stages = {name: i for i, name in enumerate(classes)}, stages
         self._cursor = Cursor()
         self._held: tuple[str, int, news.Stage, float] | None = None
 
@@ -112,10 +153,13 @@
             return None
         if kind == "stage":
             stage: news.Stage = msgspec.json.decode(data, type=news.Stage)
+            self.check(stage)
             self._hold(id, stage, now_ms)
             return self._told(stage, False, it.Status.OK, stage.age_ms)
         if kind == "tally":
             tally: news.TallyNews = msgspec.json.decode(data, type=news.TallyNews)
+            if tally.failures > tally.attempts:
+                raise ValueError(f"{tally.failures} failures of {tally.attempts} attempts")
             return it.Tally(
                 tally.build, self._class(tally.cls), tally.attempts, tally.failures, tally.mean_ms, tally.age_ms
             )
@@ -124,6 +168,11 @@
             return it.Complaint(self._class(complaint.cls), complaint.server, complaint.age_ms)
         return None
 
+    def check(self, stage: news.Stage) -> None:
+        """ValueError for a trial's stage that the settings do not know."""
+        if stage.phase == "trial" and stage.stage >= self._stages:
+            raise ValueError(f"stage {stage.stage} of {self._stages}, counted from 0")
+
     def voted(self, status: it.Status, answer: news.VoteAnswer | None, now_ms: float) -> it.StageNews:
         """The module's event for the end of a vote; a state that is behind what is held gives way to that."""
         if answer is not None:
--- a/otterquay/agent/keeper.py
+++ b/otterquay/agent/keeper.py
@@ -8,7 +8,8 @@
   it does without a store.
 - Attempts on builds under a cap within the exposure window: they only forbid. The requests they were measured by
   are not kept, nor is what each server was sent.
-- Where there is no way back, the build that answered a key: it only forbids.
+- Where there is no way back, the build that answered a key: it only forbids. Over `KEYS_MOST` of them, once the
+  build is released, one record stands for every key.
 - Votes are written down for the operators and not restored: evidence that they rested on is gone.
 
 Times in the store are its own; an attempt is put at the end of the quarter second that it fell in.
@@ -31,6 +32,8 @@
 LIST, STAGE, TRIED, ANSWERED, VOTES = "list", "stage", "tried", "answered", "votes"
 _TRIED = struct.Struct(">QIH")  # end of the bin in store time, build, class
 VOTES_KEPT_S = 7 * 86400.0
+KEYS_MOST = 2**18
+EVERY_KEY = (0).to_bytes(8)
 
 
 class Keeper:
@@ -41,7 +44,7 @@
         self._bin: dict[bytes, int] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._build = 0
-        self._votes = 0
+        self._votes = self._keys = 0
         self._listed: dict[int, news.Entry] = {}
 
     # --- what is restored ---
@@ -65,6 +68,7 @@
                 until, build, cls = _TRIED.unpack(key)
                 attempts += [(build, cls, min(until + shift, now_ms))] * int(value)
             answered = [(int.from_bytes(k), int(v)) for k, v in self._store.scan(ANSWERED)]
+            self._keys = len(answered)
             if attempts or answered:
                 events.append(it.Restored(tuple(attempts), tuple(answered)))
         except Exception as error:  # a damaged record costs what it held, never the start
@@ -87,6 +91,7 @@
         changes: list[Change] = []
         if cleared:
             changes += [Delete(ANSWERED, key) for key, _ in self._store.scan(ANSWERED)]
+            self._keys = 0
         if stage.build > self._build:
             self._build = stage.build
             changes.append(Put(STAGE, b"", b"%d" % stage.build))
@@ -111,11 +116,18 @@
             self._store.submit([Put(TRIED, key, b"%d" % count, life) for key, count in self._bin.items()])
             self._bin = {}
 
-    def answered(self, key: int, build: int) -> None:
-        """A keyed request was answered by this build, where there is no way back."""
+    def answered(self, key: int, build: int, capped: bool) -> None:
+        """A keyed request was answered by this build, where there is no way back; `capped` while it is on trial."""
         at = key.to_bytes(8)
-        if int(self._store.get(ANSWERED, at) or b"0") < build:
-            self._store.submit([Put(ANSWERED, at, b"%d" % build)])
+        known = [int(self._store.get(ANSWERED, one) or b"0") for one in (at, EVERY_KEY)]
+        if build < self._build or max(known) >= build:
+            return
+        changes: list[Change] = []
+        if not capped and self._keys >= KEYS_MOST:
+            changes = [Delete(ANSWERED, one) for one, _ in self._store.scan(ANSWERED)]
+            at, self._keys = EVERY_KEY, 0
+        self._keys += not known[0]
+        self._store.submit([*changes, Put(ANSWERED, at, b"%d" % build)])
 
     def voted(self, vote: it.CastVote) -> None:
         """A vote is cast."""
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -38,6 +38,8 @@
 from otterquay.store import Store
 
 REQUEST_ID, AGENT = b"x-request-id", b"otterquay-agent"
+AGAIN_MS = 500.0  # a module that failed on a timer could not set the next: it is woken again after this
+REFUSED_LOGGED = 20  # lines about refused entries of one list
 SKIPPED = HOP_BY_HOP | {BUDGET, ECHO, AGENT}
 UNANSWERED_SKIPPED = HOP_BY_HOP | {ECHO, ANSWER, orca.HEADER}
 VERDICTS = {
@@ -97,7 +99,7 @@
                          back.max_answer, log)
         self.front = Front(service, self, log)
         self._fleet = FleetBook(service.zones)
-        self._desk = DeskBook(list(service.class_))
+        self._desk = DeskBook(list(service.class_), len(service.rollout.stage))
         self._streams = [
             Stream(url, service.agent.number, heard, broken, rng, log, feeds.reconnect_least / 1e3,
                    feeds.reconnect_most / 1e3, feeds.silence / 1e3, feeds.max_event)
@@ -107,7 +109,7 @@
             )
         ]
         self._following: list[asyncio.Task[None]] = []
-        self._votes: deque[it.CastVote] = deque()
+        self._next_vote: it.CastVote | None = None  # the newest not yet sent: it stands for all before it
         self._voting = False
         self._timers: set[asyncio.TimerHandle] = set()
         self._peers: PeerSocket | None = None
@@ -208,6 +210,8 @@
         number = getattr(event, "request", None)
         if isinstance(number, int) and (held := self.held.get(number)) and held.client:
             self._answer(held, Final("failed", 502, PLAIN, b"no decision\n"))
+        if isinstance(event, it.TimerFired):
+            self._set_timer(AGAIN_MS, event.token)
 
     def _act(self, action: it.Action) -> None:
         match action:
@@ -227,13 +231,16 @@
             case it.Probe(server):
                 self._probe(server)
             case it.CloseIdle(server):
-                if address := self._fleet.address.get(server):
+                if address := self._fleet.address(server):
                     self.pool.close_idle(address)
             case it.TellPeers(to, data):
                 if self._peers:
                     self._peers.tell(to, data)
             case it.CastVote():
-                self._votes.append(action)
+                if self._next_vote:
+                    self.log.info("vote_overtaken", build=self._next_vote.build, stage=self._next_vote.stage,
+                                  verdict=VERDICTS[self._next_vote.verdict])
+                self._next_vote = action
                 if self._keeper:
                     self._keeper.voted(action)
                 self._vote_next()
@@ -309,30 +316,32 @@
         if held is None:
             return self.post(it.Outcome(request, server, 0, it.Status.MOOT, 0.0, True, ()))
         attempt, held.attempts = held.attempts, held.attempts + 1
-        address, now = self._fleet.address.get(server), self._now()
+        entry, now = self._fleet.entries.get(server), self._now()
         until = min(until_ms / 1e3, held.deadline_s) if until_ms > 0 else held.deadline_s
         client = held.client
         over = client is None
-        if client is None or address is None or until <= now or attempt >= self.settings.limits.max_attempts:
+        if client is None or entry is None or until <= now or attempt >= self.settings.limits.max_attempts:
             return self.post(it.Outcome(request, server, attempt, it.Status.MOOT, 0.0, over, ()))
         self.counts["attempts"] += 1
         http, tag = held.ask.http, b"%d-%d" % (request, attempt)
+        address, build = entry.address, entry.build
         headers = [(b"host", address.encode()), (ECHO, tag), (AGENT, b"%d" % self.service.agent.number)]
         headers += [item for item in http.headers.items() if item[0] not in SKIPPED]
         payload = write_request(http.method, http.target, headers, http.body)
 
         def done(call: Call, end: End, answer: HttpResponse | None) -> None:
-            self._done(held, server, attempt, call, end, answer)
+            self._done(held, server, build, attempt, call, end, answer)
 
-        if self._keeper and (entry := self._fleet.entries.get(server)) and self._desk.capped(entry.build):
-            self._keeper.tried(entry.build, held.ask.cls)
+        if self._keeper and self._desk.capped(build):
+            self._keeper.tried(build, held.ask.cls)
         client.attempt(attempt + 1)
         held.calls[attempt] = self.pool.call(address, tag, payload, until, done)
         self.log.debug("attempt", request=request, attempt=attempt, server=server,
                        client_id=http.headers.get(REQUEST_ID, b"").decode("latin-1"))
 
     def _done(
-        self, held: Held, server: int, attempt: int, call: Call, end: End, answer: HttpResponse | None
+        self, held: Held, server: int, build: int, attempt: int, call: Call, end: End,
+        answer: HttpResponse | None,
     ) -> None:
         held.calls.pop(attempt, None)
         held.last = end
@@ -351,9 +360,9 @@
             held.client = None
             self.counts["served"] += 1
             client.final(Final("served", answer.status, headers, answer.body))
-            entry = self._fleet.entries.get(server)
-            if self._keeper and self.settings.rollout.one_way and held.ask.key and entry:
-                self._keeper.answered(key_of(held.ask.key), entry.build)
+            # the build that the attempt was sent to: another may have taken the server's name since
+            if self._keeper and self.settings.rollout.one_way and held.ask.key:
+                self._keeper.answered(key_of(held.ask.key), build, self._desk.capped(build))
         over = held.client is None
         if over:
             self._forget(held)
@@ -363,7 +372,7 @@
 
     # --- probes ---
     def _probe(self, server: int) -> None:
-        address, started = self._fleet.address.get(server), self._now()
+        address, started = self._fleet.address(server), self._now()
 
         def done(_: Call, end: End, answer: HttpResponse | None) -> None:
             load: tuple[float, ...] = ()
@@ -390,16 +399,19 @@
     def _fleet_event(self, event: SseEvent) -> None:
         if event.event not in ("full", "delta"):
             return
-        fleet: news.FleetNews = msgspec.json.decode(event.data, type=news.FleetNews)
+        fleet, refused = news.decode_fleet(event.data)
         try:
             told = self._fleet.heard(event.id, fleet, self._now() * 1e3)
         except Gap as gap:
             raise Restart(str(gap)) from None
-        for refused in self._fleet.refused:
-            self.log.warning("list_entry_refused", reason=refused)
         if told is None:
             self.log.info("list_repeated", id=event.id)
             return
+        refused += self._fleet.refused
+        for reason in refused[:REFUSED_LOGGED]:
+            self.log.warning("list_entry_refused", reason=reason, of=len(refused))
+        for address in self._fleet.ended:
+            self.pool.retire(address)
         self.post(told)
         if self._keeper:
             self._keeper.list(self._fleet.entries)
@@ -421,10 +433,9 @@
     # --- votes ---
     def _vote_next(self) -> None:
         """One vote is out at a time, so that none overtakes another."""
-        if self._voting or not self._votes:
+        if self._voting or not (vote := self._next_vote):
             return
-        self._voting = True
-        vote = self._votes.popleft()
+        self._voting, self._next_vote = True, None
         body = msgspec.json.encode(news.Vote(self.service.agent.number, vote.build, vote.stage,
                                              VERDICTS[vote.verdict]))  # type: ignore[arg-type]
         address = self._streams[1].url.split("/")[2]
@@ -445,6 +456,7 @@
                 try:
                     found: news.VoteAnswer = msgspec.json.decode(answer.body, type=news.VoteAnswer)
                     news.parse_id(found.id)
+                    self._desk.check(found.state)
                     decoded = found
                 except (ValueError, msgspec.MsgspecError) as error:
                     self.log.warning("vote_answer_malformed", error=str(error))
--- a/otterquay/agent/streams.py
+++ b/otterquay/agent/streams.py
@@ -45,6 +45,9 @@
                 self.last_id, reason = "", str(restart)
             except (OSError, TimeoutError, ProtocolError, SseError, ValueError) as error:
                 reason = str(error) or type(error).__name__
+            except Exception as error:  # a fault of the consumer costs this connection, never the feed
+                self.log.exception("feed_fault", url=self.url)
+                reason = type(error).__name__
             failures = 0 if self._came else failures + 1
             self.log.warning("feed_broken", url=self.url, reason=reason, failures=failures)
             self.broken(reason)
--- a/otterquay/protocol/news.py
+++ b/otterquay/protocol/news.py
@@ -5,61 +5,86 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
+from msgspec import Meta
+
+Number = Annotated[int, Meta(ge=0, lt=2**32)]  # of a server, or how many
+Small = Annotated[int, Meta(ge=0, lt=2**16)]  # builds, kinds, cells, stages
+Life = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Span = Annotated[float, Meta(ge=0, le=1e12)]  # milliseconds; some thirty years
+Part = Annotated[float, Meta(ge=0, le=1)]
 
 
 class Entry(msgspec.Struct, frozen=True, forbid_unknown_fields=False):
     """One server; `incarnation` changes with every start of its process, `age_ms` is absent when long ago."""
 
-    server: int
+    server: Number
     zone: str
     state: Literal["ready", "draining", "gone"]
-    build: int
+    build: Small
     address: str
-    incarnation: int
-    kind: int = 0
-    cell: int = 0
-    weight: float = 1.0
-    age_ms: float | None = None
+    incarnation: Life
+    kind: Small = 0
+    cell: Small = 0
+    weight: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
+    age_ms: Span | None = None
 
 
 class FleetNews(msgspec.Struct, frozen=True):
     """A whole list, or with `base` the changes from that version on."""
 
-    version: int
+    version: Life
     entries: list[Entry]
-    base: int | None = None
+    base: Life | None = None
+
+
+class _Unread(msgspec.Struct, frozen=True):
+    version: Life
+    entries: list[msgspec.Raw]
+    base: Life | None = None
+
+
+def decode_fleet(data: str) -> tuple[FleetNews, list[str]]:
+    """A list, and why entries were left out: one that is malformed hides no other. ValueError for all else."""
+    unread: _Unread = msgspec.json.decode(data, type=_Unread)
+    entries, refused = list[Entry](), list[str]()
+    for raw in unread.entries:
+        try:
+            entries.append(msgspec.json.decode(raw, type=Entry))
+        except msgspec.MsgspecError as error:
+            refused.append(f"{bytes(raw)[:80].decode('utf-8', 'replace')}: {error}")
+    return FleetNews(unread.version, entries, unread.base), refused
 
 
 class Stage(msgspec.Struct, frozen=True):
     """Where the newest build stands."""
 
-    build: int
-    stage: int
+    build: Small
+    stage: Small
     phase: Literal["trial", "going_back", "released", "withdrawn"]
-    cap: float
-    age_ms: float
+    cap: Part
+    age_ms: Span
 
 
 class TallyNews(msgspec.Struct, frozen=True, rename={"cls": "class"}):
     """What the platform counted for one build and class over a period."""
 
-    build: int
+    build: Small
     cls: str
-    attempts: int
-    failures: int
-    mean_ms: float
-    age_ms: float
+    attempts: Number
+    failures: Number
+    mean_ms: Span
+    age_ms: Span
 
 
 class ComplaintNews(msgspec.Struct, frozen=True, rename={"cls": "class"}):
     """A client found an answer wrong."""
 
     cls: str
-    server: int
-    age_ms: float
+    server: Number
+    age_ms: Span
 
 
 class Vote(msgspec.Struct, frozen=True):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -240,9 +240,66 @@
     return news.Entry(number, "a", state, 1, f"127.0.0.1:{1 + number % 60000}", life, **more)  # type: ignore[arg-type]
 
 
+def test_the_list_holds_so_many_servers_and_refuses_the_rest_aloud(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feeds, "LISTED_MOST", 20)
+    book = FleetBook(["a"])
+    event = book.heard("l:1", news.FleetNews(1, [server(i) for i in range(30)]), 1.0)
+    assert event and len(event.entries) == len(book.entries) == 20
+    assert len(book.refused) == 10 and "over 20 servers" in book.refused[0]
+    event = book.heard("l:2", news.FleetNews(2, [server(5, state="gone"), server(29), server(3, life=9)], 1), 2.0)
+    assert event and len(event.entries) == 3 and not book.refused
+
+
+def test_ids_and_addresses_that_change_for_days_leave_nothing_behind(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(feeds, "GONE_MOST", 30)
+    book = FleetBook(["a"])
+    book.heard("l:0", news.FleetNews(0, []), 0.0)
+    for i in range(1, 2001):
+        news_now = [server(i), *([server(i - 10, state="gone")] if i > 10 else [])]
+        book.heard(f"l:{i}", news.FleetNews(i, news_now, i - 1), i * 6e4)
+    assert len(book.entries) == len(book._lives) == 10 and len(book._gone) == 30
+    assert book._gone.keys() == set(range(1961, 1991)), "the oldest are given up"
+
+
 STAGE = {"build": 2, "stage": 0, "phase": "trial", "cap": 0.1, "age_ms": 0.0}
 
 
+@pytest.mark.parametrize("change", [
+    {"stage": 99}, {"stage": -1}, {"build": 70000}, {"build": -1}, {"cap": 2.0}, {"cap": -0.5}, {"age_ms": -1.0},
+    {"phase": "unheard of"}, {"cap": None}, {"stage": 1e30},
+])
+def test_stage_news_that_cannot_be_is_refused_and_the_agent_goes_on_judging(change: dict[str, Any]) -> None:
+    """A stage beyond the settings, or a build over 65535, ended the module's timer: it never judged again."""
+    book = DeskBook(["read"], 2)
+    with pytest.raises(ValueError):
+        book.heard("d:1", "stage", msgspec.json.encode(STAGE | change), 0.0)
+    assert book.standing() == "no news of any build"
+
+    async def work() -> None:
+        async with Rig() as rig:
+            rig.desk.publish("stage", msgspec.json.encode(STAGE | change).decode(), 50)
+            rig.stage(3, "trial", 0.2, number=60)
+            await rig.until(lambda: rig.seen(it.StageNews)[-1].build == 3)
+            assert not any(n.build == 2 for n in rig.seen(it.StageNews))
+            timers = len(rig.seen(it.TimerFired))
+            await rig.until(lambda: len(rig.seen(it.TimerFired)) > timers + 1)
+            assert kind(await rig.get()) == "served"
+    if change in ({"stage": 99}, {"build": 70000}):
+        run(work)
+
+
+@pytest.mark.parametrize("tally", [
+    {"attempts": -5}, {"failures": 30}, {"mean_ms": -1.0}, {"class": "unheard"}, {"build": 1e9},
+    {"attempts": 2**40},
+])
+def test_tallies_that_cannot_be_are_refused(tally: dict[str, Any]) -> None:
+    whole = {"build": 2, "class": "read", "attempts": 10, "failures": 1, "mean_ms": 5.0, "age_ms": 1.0}
+    book = DeskBook(["read"], 2)
+    assert book.heard("d:1", "tally", msgspec.json.encode(whole), 0.0)
+    with pytest.raises(ValueError):
+        book.heard("d:2", "tally", msgspec.json.encode(whole | tally), 0.0)
+
+
 ENTRY = {"server": 7, "zone": "north", "state": "ready", "build": 1, "address": "127.0.0.1:1", "incarnation": 1}
 ODD = [
     {"server": -1}, {"server": 2**70}, {"server": "seven"}, {"build": 10**6}, {"incarnation": -3},
@@ -251,6 +308,43 @@
 ]
 
 
+def test_one_entry_that_cannot_be_hides_no_other_and_ends_no_feed() -> None:
+    """A number below zero ended the task that follows the list, where a store is kept; any odd one hid the rest."""
+
+    async def work() -> None:
+        async with Rig(servers=1, disk=FaultDisk()) as rig:
+            for odd in ODD:
+                rig.version += 1
+                good_one = msgspec.to_builtins(rig.entries[1]) | {"incarnation": 100 + rig.version}
+                told = {"version": rig.version, "base": rig.version - 1, "entries": [ENTRY | odd, good_one]}
+                rig.list.publish("delta", msgspec.json.encode(told).decode(), rig.version)
+                await rig.until(lambda: rig.runtime._fleet._version == rig.version)
+                assert rig.runtime._fleet.entries[1].incarnation == 100 + rig.version and len(
+                    rig.runtime._fleet.entries) == 1
+            assert kind(await rig.get()) == "served" and all(not t.done() for t in rig.runtime._following)
+    run(work)
+
+
+def test_a_feed_outlives_a_fault_of_who_hears_it() -> None:
+    async def work() -> None:
+        async with Rig(servers=1) as rig:
+            stream = rig.runtime._streams[0]
+            taken, faults = stream.event, [KeyError("x"), OverflowError(), TypeError()]
+
+            def faulty(event: Any) -> None:
+                if faults:
+                    raise faults.pop()
+                taken(event)
+
+            stream.event = faulty
+            for _ in range(4):
+                rig.change(msgspec.structs.replace(rig.entries[1], incarnation=rig.version + 50))
+                await asyncio.sleep(0.12)
+            rig.change(msgspec.structs.replace(rig.entries[1], incarnation=999))
+            await rig.until(lambda: rig.runtime._fleet.entries[1].incarnation == 999)
+    run(work)
+
+
 # --- the agent ---
 @pytest.mark.parametrize("report", [
     b"JSON {\"cpu_utilization\": 1" + b"0" * 400 + b", \"named_metrics\": {\"inflight\": 1}}",
@@ -269,6 +363,21 @@
         run(work)
 
 
+def test_the_newest_vote_stands_for_all_that_have_not_been_sent() -> None:
+    """With the desk out of reach votes queued without bound, and went out later in all their staleness."""
+
+    async def work() -> None:
+        async with Rig(config=service(rollout={"call_timeout": "200ms"})) as rig:
+            rig.desk.post = lambda peer, request: rig._vote(peer, request)
+            for stage in range(50):
+                rig.runtime._act(it.CastVote(2, stage, it.Verdict.ON))
+            rig.runtime._act(it.CastVote(2, 7, it.Verdict.BACK))
+            await rig.until(lambda: len(rig.votes) == 2)
+            await rig.until(lambda: not rig.runtime._voting)
+            assert [(v.stage, v.verdict) for v in rig.votes] == [(0, "on"), (7, "back")]
+    run(work)
+
+
 class FailsOnce(rules.Agent):
     """Its third timer meets a fault."""
 
@@ -283,6 +392,15 @@
     _started = _timerfired
 
 
+def test_a_module_that_fails_on_its_timer_is_woken_again() -> None:
+    async def work() -> None:
+        FailsOnce.fired = 0
+        async with Rig(servers=1, decider=FailsOnce) as rig:
+            await rig.until(lambda: FailsOnce.fired >= 6)
+            assert kind(await rig.get()) == "served"
+    run(work)
+
+
 class SendsNowhere(rules.Agent):
     """Sends each request to a server that nobody knows, as often as it is told that this failed."""
 
@@ -294,6 +412,52 @@
         return super().handle(now, event)
 
 
+def test_the_queue_of_events_holds_what_one_event_brings_and_empties_in_its_turn() -> None:
+    async def work() -> None:
+        async with Rig(servers=1, decider=SendsNowhere) as rig:
+            assert kind(await rig.get()) == "failed"
+            assert len(rig.seen(it.Outcome)) == 40 and not rig.runtime._queue and not rig.runtime.held
+    run(work)
+
+
+def test_the_store_keeps_so_many_keys_and_then_one_for_all(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(keeper, "KEYS_MOST", 10)
+
+    async def work() -> None:
+        disk = FaultDisk()
+        store = await open_store(disk, silent(), asyncio.get_running_loop().time)
+        kept = keeper.Keeper(store, 4000.0, silent())
+
+        def stage(phase: it.Phase, build: int = 2) -> None:
+            kept.stage(it.StageNews(build, 0, phase, False, it.Status.OK, 1.0, 0.0))
+
+        async def settle() -> None:
+            await store.commit([Put("x", b"", b"")])
+
+        stage(it.Phase.TRIAL)
+        for key in range(1, 16):
+            kept.answered(key, 2, True)
+        await settle()
+        assert len(list(store.scan("answered"))) == 15, "on trial nothing is forgotten; the module bounds it"
+        stage(it.Phase.RELEASED)
+        for key in range(16, 40):
+            kept.answered(key, 2, False)
+            await settle()
+        assert [(int.from_bytes(k), int(v)) for k, v in store.scan("answered")] == [(0, 2)]
+        again = keeper.Keeper(store, 4000.0, silent())
+        _, events = again.recall(1e6)
+        drive = Drive(settings(rollout={"one_way": True}), servers=0)
+        for event in events:
+            drive.give(event)
+        drive.news(2, 0, it.Phase.RELEASED, 1.0)
+        drive.list(entry(1, build=1))
+        assert not sends(drive.ask(key=3)[1]) and not sends(drive.ask(key=77)[1]) and sends(drive.ask()[1])
+        stage(it.Phase.TRIAL, build=3)
+        await settle()
+        assert not list(store.scan("answered"))
+    run(work)
+
+
 # --- messages between agents ---
 def linked() -> tuple[PeerLink, PeerLink]:
     one, two = PeerLink(0, 2, bytes(32), random.Random(1)), PeerLink(1, 2, bytes(32), random.Random(2))
@@ -389,3 +553,16 @@
         hangs.set()
         await store.close()
     run(work)
+
+
+def test_a_listed_event_over_its_bound_ends_the_connection_not_the_feed() -> None:
+    async def work() -> None:
+        async with Rig(servers=1, config=service(feeds={"max_event": "64KiB"})) as rig:
+            junk = encode_event("full", "x" * 100_000, "l:77")
+            for peer in list(rig.list.followers):
+                peer.send(junk)
+            await rig.until(lambda: not rig.list.followers)
+            rig.change(msgspec.structs.replace(rig.entries[1], incarnation=999))
+            await rig.until(lambda: rig.runtime._fleet.entries[1].incarnation == 999)
+            assert kind(await rig.get()) == "served"
+    run(work)
