Two stored figures that others give: the newest build on trial, a session's open commands

Cause: both were kept beside what they follow from (the builds on trial; the ledger's entries without an answer) and had to be kept in step. Change: worked out where they are asked for; the invariant that compared the counter goes with it. Ruled out: the number of ready servers, which is asked for at each send and would cost a walk.

--- a/otterquay/chat/hub.py
+++ b/otterquay/chat/hub.py
@@ -219,7 +219,6 @@
     detached: float = 0.0
     entries: OrderedDict[str, Entry] = field(default_factory=OrderedDict)
     retired: OrderedDict[str, None] = field(default_factory=OrderedDict)  # ids of answers no longer kept
-    open: int = 0
     following: bool = False
     restored: bool = False  # its newest records may be missing: none of its client has come back since a restart
 
@@ -505,8 +504,8 @@
         if odd or not command.least_words <= len(typed.words) <= command.most_words:
             allowed = f"{command.least_words} to {command.most_words} words, options {command.options}"
             return self._say(conn, ms.Problem("bad_arguments", f"/{typed.name} takes {allowed}", id))
-        if session.open >= self._s.max_open:
-            return self._say(conn, ms.Problem("too_many_open", f"{session.open} commands are open", id))
+        if (open := sum(entry.answer is None for entry in session.entries.values())) >= self._s.max_open:
+            return self._say(conn, ms.Problem("too_many_open", f"{open} commands are open", id))
         if len(session.entries) >= self._s.max_kept and not self._make_room(session):
             return self._say(conn, ms.Problem("unacknowledged", "acknowledge answers first", id))
         bucket = self._buckets.setdefault(
@@ -516,7 +515,6 @@
         self._last_ref += 1
         entry = session.entries[id] = Entry(id, message.text)
         self._refs[self._last_ref] = session, entry
-        session.open += 1
         self._save(session, entry)
         self.counts["accepted"] += 1
         self._say(conn, ms.Accepted(id))
@@ -553,7 +551,6 @@
         if found is None:
             return
         session, entry = found
-        session.open -= 1
         entry.answer = ms.Answer(entry.id, event.kind, event.text, int(event.retry_after_ms))
         self.counts["answered"] += 1
         if session.id not in self._sessions:
--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -144,7 +144,7 @@
         self.news = it.StageNews(0, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, 0.0)
         self.baseline = [deque[float](maxlen=BASELINE_BINS * PAIRS_A_BIN) for _ in range(2 * self.n)]
         self.groups: list[list[list[Server]]] = []  # servers not on trial and on trial: near ones, all
-        self.even, self.fleet, self.new = 0.0, 1, 0  # trial's even share, servers ready, build on trial
+        self.even, self.fleet = 0.0, 1  # trial's even share, servers ready
         self.youngest: float | None = None  # start of the ready server that started last
         self.on_trial = set[int]()  # all builds on trial that ready servers run
         self.bins, self.ranked, self.healed, self.points = 0, -1, 0, deque[float](maxlen=POINTS_MOST)
@@ -436,7 +436,6 @@
         self.ranked = self.healed = self.bins
         groups = [[s for s in ready if (self._cap(s.entry.build) is None) is old] for old in (True, False)]
         self.on_trial, self.fleet = {s.entry.build for s in groups[1]}, max(len(ready), 1)
-        self.new = max(self.on_trial, default=0)
         zone = self.s.zone if self.s.cross_zone_price else -1
         self.groups = [[[s for s in group if s.entry.zone == zone], group] for group in groups]
         old, new = (sum(s.entry.weight * self._able(s) * s.ok for s in group) for group in groups)
@@ -476,8 +475,9 @@
         return group[:max(KEPT_LEAST, math.ceil(self._exposed(0, 0, True)[1] * span / self.roll.window_ms))]
 
     def _fill(self, job: Job) -> bool:  # DESIGN: fill the cap; ours: up to an even share, by chance, no burst
-        tries, asked = self._exposed(self.new, job.cls, not self.roll.per_class)
-        room = FILL * (self.roll.free + (self._cap(self.new) or 0.0) * asked)
+        newest = max(self.on_trial)
+        tries, asked = self._exposed(newest, job.cls, not self.roll.per_class)
+        room = FILL * (self.roll.free + (self._cap(newest) or 0.0) * asked)
         lacks = self.s.me in self.judges and self.pools["own", POOL_BINS][4 * job.cls] < CLASS_LEAST
         part = min(room / max(asked, 1), 1.0 if lacks else self.even)  # judges seek what they have not seen
         return not self.tripped and tries < room and self.rng.random() < part
--- a/tests/test_chat_hub.py
+++ b/tests/test_chat_hub.py
@@ -530,7 +530,7 @@
         hub = self.desk.hub
         for session in hub._sessions.values():
             open = [e for e in session.entries.values() if e.answer is None]
-            assert session.open == len(open) <= 3 and len(session.entries) <= 6 + 4
+            assert len(open) <= 3 and len(session.entries) <= 6 + 4
             if session.conn is not None:
                 assert hub._lines[session.conn].session is session
         assert sum(hub._addresses.values()) == len(hub._lines)
