Store: more answered keys than a batch takes hid the next build from the module

Seen: at the news of a next build the keeper removed all answered keys in one batch. Over 118,000 of them the batch was refused (ValueError), and as the store came first, the module was not told: it never heard of that build, nor of a cap lowered to 0, as each repeat failed alike. Ruled out: a larger batch, which would hold the loop. At fault: agent/keeper.py stage, and the order in runtime.py _desk_event. Change: the module hears first; keys go 1,024 a turn, only those that builds up to the one named answered; the record that stands for every key lasts before those it replaces go. The count of keys is the store's own. Test: fails before (the news does not come).

--- a/otterquay/agent/keeper.py
+++ b/otterquay/agent/keeper.py
@@ -20,6 +20,7 @@
 import asyncio
 import struct
 from collections.abc import Mapping
+from itertools import islice
 
 import msgspec
 
@@ -33,6 +34,7 @@
 _TRIED = struct.Struct(">QIH")  # end of the bin in store time, build, class
 VOTES_KEPT_S = 7 * 86400.0
 KEYS_MOST = 2**18
+CLEARED_AT_ONCE = 1024
 EVERY_KEY = (0).to_bytes(8)
 
 
@@ -44,7 +46,7 @@
         self._bin: dict[bytes, int] = {}
         self._timer: asyncio.TimerHandle | None = None
         self._build = 0
-        self._votes = self._keys = 0
+        self._votes = self._every = 0  # votes cast; the build that stands for every key
         self._listed: dict[int, news.Entry] = {}
 
     # --- what is restored ---
@@ -68,7 +70,7 @@
                 until, build, cls = _TRIED.unpack(key)
                 attempts += [(build, cls, min(until + shift, now_ms))] * int(value)
             answered = [(int.from_bytes(k), int(v)) for k, v in self._store.scan(ANSWERED)]
-            self._keys = len(answered)
+            self._every = dict(answered).get(0, 0)
             if attempts or answered:
                 events.append(it.Restored(tuple(attempts), tuple(answered)))
         except Exception as error:  # a damaged record costs what it held, never the start
@@ -87,16 +89,23 @@
 
     def stage(self, stage: it.StageNews) -> None:
         """The newest build named; one that goes back frees the keys that it answered."""
-        cleared = stage.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN) or stage.build > self._build
-        changes: list[Change] = []
-        if cleared:
-            changes += [Delete(ANSWERED, key) for key, _ in self._store.scan(ANSWERED)]
-            self._keys = 0
+        back = stage.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN)
+        if back or stage.build > self._build:
+            self._every = 0
+            self._clear(stage.build if back else stage.build - 1)
         if stage.build > self._build:
             self._build = stage.build
-            changes.append(Put(STAGE, b"", b"%d" % stage.build))
-        if changes:
-            self._store.submit(changes)
+            self._store.submit([Put(STAGE, b"", b"%d" % stage.build)])
+
+    def _clear(self, build: int, first: bytes = b"") -> None:
+        """Remove keys that builds up to this one answered, some in each turn: all may be over a batch."""
+        if self._store.failed:
+            return
+        some = list(islice(self._store.scan(ANSWERED, first), CLEARED_AT_ONCE))
+        if gone := [Delete(ANSWERED, key) for key, value in some if int(value) <= build]:
+            self._store.submit(gone)
+        if len(some) == CLEARED_AT_ONCE:
+            asyncio.get_running_loop().call_soon(self._clear, build, some[-1][0] + b"\0")
 
     def tried(self, build: int, cls: int) -> None:
         """An attempt on a build under a cap is sent."""
@@ -119,15 +128,13 @@
     def answered(self, key: int, build: int, capped: bool) -> None:
         """A keyed request was answered by this build, where there is no way back; `capped` while it is on trial."""
         at = key.to_bytes(8)
-        known = [int(self._store.get(ANSWERED, one) or b"0") for one in (at, EVERY_KEY)]
-        if build < self._build or max(known) >= build:
+        if build < self._build or build <= self._every or int(self._store.get(ANSWERED, at) or b"0") >= build:
             return
-        changes: list[Change] = []
-        if not capped and self._keys >= KEYS_MOST:
-            changes = [Delete(ANSWERED, one) for one, _ in self._store.scan(ANSWERED)]
-            at, self._keys = EVERY_KEY, 0
-        self._keys += not known[0]
-        self._store.submit([*changes, Put(ANSWERED, at, b"%d" % build)])
+        if not capped and self._store.tables().get(ANSWERED, 0) >= KEYS_MOST:
+            at, self._every = EVERY_KEY, build
+        self._store.submit([Put(ANSWERED, at, b"%d" % build)])
+        if at == EVERY_KEY:  # after it, so that no key is free for a moment
+            self._clear(build, EVERY_KEY + b"\0")
 
     def voted(self, vote: it.CastVote) -> None:
         """A vote is cast."""
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -424,9 +424,9 @@
     def _desk_event(self, event: SseEvent) -> None:
         told = self._desk.heard(event.id, event.event, event.data.encode(), self._now() * 1e3)
         if told is not None:
+            self.post(told)  # first: whatever the store makes of it, the module has heard
             if self._keeper and isinstance(told, it.StageNews):
                 self._keeper.stage(told)
-            self.post(told)
             if isinstance(told, it.StageNews):
                 self._tell(self._desk.standing())
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -458,6 +458,28 @@
     run(work)
 
 
+def test_more_keys_than_a_batch_takes_hide_no_news_of_a_build(monkeypatch: pytest.MonkeyPatch) -> None:
+    """All were removed in one batch before the module was told: over 118,000 keys, it never heard of the build."""
+    monkeypatch.setattr(en.fm, "BATCH_MOST", 600_000)
+
+    async def work() -> None:
+        async with Rig(servers=1, config=service(rollout={"one_way": True}), disk=FaultDisk()) as rig:
+            kept = rig.runtime._keeper
+            rig.stage(2, "trial", 0.2)
+            await rig.until(lambda: kept._build == 2)
+            for key in range(1, 3001):
+                kept.answered(key, 2, True)
+            await rig.until(lambda: len(list(kept._store.scan("answered"))) == 3000)
+            rig.stage(3, "trial", 0.2)
+            await rig.until(lambda: rig.seen(it.StageNews)[-1].build == 3)
+            kept.answered(7777, 3, True)
+            await rig.until(lambda: [v for _, v in kept._store.scan("answered")] == [b"3"])
+            rig.stage(3, "going_back", 0.0)
+            await rig.until(lambda: not list(kept._store.scan("answered")))
+            assert kind(await rig.get()) == "served"
+    run(work)
+
+
 # --- messages between agents ---
 def linked() -> tuple[PeerLink, PeerLink]:
     one, two = PeerLink(0, 2, bytes(32), random.Random(1)), PeerLink(1, 2, bytes(32), random.Random(2))
