--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -480,6 +480,37 @@
     run(work)
 
 
+def test_after_days_of_builds_lists_and_restarts_the_store_holds_no_more_than_at_first() -> None:
+    async def work() -> None:
+        disk, clock, sizes = FaultDisk(), [0.0], list[dict[str, int]]()
+        for build in range(2, 42):  # two a day for twenty days, each on servers of its own
+            clock[0] += HALF_DAY / 1e3
+            disk = disk.killed()
+            store = await open_store(disk, silent(), lambda: clock[0])
+            kept = keeper.Keeper(store, 4000.0, silent())
+            fleet, events = kept.recall(clock[0] * 1e3)
+            if build > 2:
+                assert fleet and {e.build for e in fleet.entries} == {build - 1}
+                assert not [e for e in events if isinstance(e, it.Restored) and e.attempts], "the window has passed"
+            for phase in (it.Phase.TRIAL, it.Phase.RELEASED):
+                kept.stage(it.StageNews(build, 0, phase, False, it.Status.OK, 1.0, 0.0))
+                kept.list({i: msgspec.structs.replace(server(i), build=build)
+                           for i in range(100 * build, 100 * build + 20)})
+                for key in range(40):
+                    kept.tried(build, key % 3)
+                    kept.answered(1000 * build + key + 1, build, phase is it.Phase.TRIAL)
+                kept.voted(it.CastVote(build, 0, it.Verdict.ON))
+                kept.flush()
+                await store.commit([Put("x", b"", b"")])
+                await asyncio.sleep(0)
+            sizes.append(store.tables())
+            await store.close()
+        assert all(s["list"] == 20 and s["answered"] == 40 and s["stage"] == 1 for s in sizes)
+        assert max(s["tried"] for s in sizes) <= 3 and sizes[-1]["votes"] == sizes[20]["votes"] <= 2 * 14
+        assert sum(len(f.disk) for f in disk.files.values()) < 4 * en.Options().segment_bytes
+    run(work)
+
+
 # --- messages between agents ---
 def linked() -> tuple[PeerLink, PeerLink]:
     one, two = PeerLink(0, 2, bytes(32), random.Random(1)), PeerLink(1, 2, bytes(32), random.Random(2))
@@ -504,6 +535,20 @@
         two.receive(one.tell(1, b"old")[0].datagram)
 
 
+def test_a_peer_that_restarts_for_days_leaves_one_link() -> None:
+    one, two = linked()
+    for life in range(300):
+        two = PeerLink(1, 2, bytes(32), random.Random(life + 10))
+        todo: list[tuple[PeerLink, bytes]] = [(two, t.datagram) for t in one.tell(1, b"again")]
+        while todo:
+            to, datagram = todo.pop(0)
+            todo += [(one if found.to == 0 else two, found.datagram) for found in to.receive(datagram)
+                     if isinstance(found, Transmit)]
+        (datagram,) = [t.datagram for t in one.tell(1, b"heard")]
+        assert two.receive(datagram) == [Deliver(0, b"heard")]
+    assert len(one._out) == len(two._in) == 1 and not one._out[1].held
+
+
 def test_words_for_one_that_never_answers_are_few() -> None:
     link = PeerLink(0, 3, bytes(32), random.Random(1))
     for i in range(1000):
