List and desk: what leaves and what is lowered is heard whatever else its words say

Seen on rereading: since entries are checked, one that drains or is gone was refused for a zone or an address that cannot be, and went on being sent to (for a zone it had been so before); ages below zero, as of a source whose clock was set back, were refused with the server or the cap they came with. Change: a listed server that leaves is known by its number alone; an age below zero counts as none.

--- a/otterquay/agent/feeds.py
+++ b/otterquay/agent/feeds.py
@@ -91,6 +91,8 @@
                 self._left(server)
         told = []
         for entry in fleet.entries:
+            if entry.state != "ready" and (held := self.entries.get(entry.server)):  # known by its number alone
+                entry = msgspec.structs.replace(entry, zone=held.zone, address=held.address)
             if problem := self._problem(entry):
                 self.refused.append(f"server {entry.server}: {problem}")
                 continue
@@ -103,9 +105,9 @@
                 entry.server, self._zones[entry.zone], entry.kind, entry.cell, STATES[entry.state],
                 entry.weight, start, entry.build,
             ))
-        held = self.entries
-        self.ended = [old.address for server, old in before.items() if server not in held or (
-            held[server].address, held[server].incarnation) != (old.address, old.incarnation)]
+        now = self.entries
+        self.ended = [old.address for server, old in before.items() if server not in now or (
+            now[server].address, now[server].incarnation) != (old.address, old.incarnation)]
         return it.ServerList(kind, fleet.version, tuple(told))
 
     def _problem(self, entry: news.Entry) -> str:
@@ -132,7 +134,7 @@
         if life and life[0] == entry.incarnation:
             start = life[1]
         elif entry.age_ms is not None:
-            start = max(now_ms - entry.age_ms, 1e-3)
+            start = max(now_ms - max(entry.age_ms, 0.0), 1e-3)
         else:  # not told: of one that took the place of another since we knew that, it cannot be long ago
             start = now_ms if life else 0.0
         self._lives[entry.server] = entry.incarnation, start
@@ -206,7 +208,7 @@
 
     @staticmethod
     def _told(stage: news.Stage, vote: bool, status: it.Status, age: float) -> it.StageNews:
-        return it.StageNews(stage.build, stage.stage, PHASES[stage.phase], vote, status, stage.cap, age)
+        return it.StageNews(stage.build, stage.stage, PHASES[stage.phase], vote, status, stage.cap, max(age, 0.0))
 
     def _class(self, name: str) -> int:
         if name not in self._classes:
--- a/otterquay/protocol/news.py
+++ b/otterquay/protocol/news.py
@@ -14,6 +14,7 @@
 Small = Annotated[int, Meta(ge=0, lt=2**16)]  # builds, kinds, cells, stages
 Life = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 Span = Annotated[float, Meta(ge=0, le=1e12)]  # milliseconds; some thirty years
+Age = Annotated[float, Meta(ge=-1e12, le=1e12)]  # below 0 where the source's clock was set back; it counts as 0
 Part = Annotated[float, Meta(ge=0, le=1)]
 
 
@@ -29,7 +30,7 @@
     kind: Small = 0
     cell: Small = 0
     weight: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
-    age_ms: Span | None = None
+    age_ms: Age | None = None
 
 
 class FleetNews(msgspec.Struct, frozen=True):
@@ -65,7 +66,7 @@
     stage: Small
     phase: Literal["trial", "going_back", "released", "withdrawn"]
     cap: Part
-    age_ms: Span
+    age_ms: Age
 
 
 class TallyNews(msgspec.Struct, frozen=True, rename={"cls": "class"}):
