--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -31,6 +31,8 @@
 
 ZONES = ("north", "south")
 CONFIG = settings(rollout={"one_way": True, "free": 1.0, "stage_cap": (0.2, 1.0)}, limits={"max_attempts": 3})
+GUARDED = settings(rollout={"guarded_stages": 1, "per_class": True, "free": 1.0, "stage_cap": (0.5, 1.0)})
+COPIES = settings(limits={"second_copies": True})
 BEGIN = 1e6
 
 
@@ -85,8 +87,8 @@
 class Play:
     """One or two agents on one clock, and the events that a set may hold, by name."""
 
-    def __init__(self, make: type[rules.Agent], agents: int = 1, cold: bool = False) -> None:
-        self.now, self.agents = BEGIN, [Agent(CONFIG, make, seed, BEGIN) for seed in range(agents)]
+    def __init__(self, make: type[rules.Agent], agents: int = 1, config: it.Settings = CONFIG) -> None:
+        self.now, self.agents = BEGIN, [Agent(config, make, seed, BEGIN) for seed in range(agents)]
         begin = [self.entry(1, 1, "north"), self.entry(2, 1, "south"), self.entry(3, 1, "north")]
         for one in self.agents:
             one.list(self.now, *begin, base=None)
@@ -212,7 +214,7 @@
         for duty in books.duties.values():
             duty.finals = duty.finals or 1  # its clients see the connection end
         if not kept:
-            one.books = Books(CONFIG)
+            one.books = Books(one.config)
         one.begin(self.now)
         if kept:
             newest = books.caps[-1][1]
@@ -248,7 +250,9 @@
     return count
 
 
-def search(names: list[str], make: type[rules.Agent] = rules.Agent, agents: int = 1) -> tuple[int, int]:
+def search(
+    names: list[str], make: type[rules.Agent] = rules.Agent, agents: int = 1, config: it.Settings = CONFIG
+) -> tuple[int, int]:
     """Play every order; returns how many orders and differing states there were. `Broken` names the order at fault.
 
     Two orders that lead to one state, to the bit, with the same events left go on alike and are played on once.
@@ -275,7 +279,7 @@
                     raise
         return met[at]
 
-    return deeper(pickle.dumps(Play(make, agents), -1), Counter(names), ()), len(met)
+    return deeper(pickle.dumps(Play(make, agents, config), -1), Counter(names), ()), len(met)
 
 
 SETS: dict[str, tuple[list[str], int]] = {
@@ -291,13 +295,16 @@
     "killed": (["trial", "raised", "keyed", "answer", "killed", "safes", "released"], 1),
     "killed, with its store": (["trial", "raised", "keyed", "answer", "killed_with_store", "keyed", "safes"], 1),
     "two agents": (["trial", "offered", "safes", "error", "drain", "bin"], 2),
+    "guarded, by class": (["trial", "offered", "raised", "lowered", "safes", "keyed", "unsafe"], 1),
+    "second copies allowed": (["unsafe", "keyed", "safe", "error", "refused", "late_answer", "long"], 1),
 }
+OTHERWISE = {"guarded, by class": GUARDED, "second copies allowed": COPIES}
 
 
 @pytest.mark.parametrize("name", SETS)
 def test_no_order_of_a_few_events_breaks_a_rule(name: str) -> None:
     names, agents = SETS[name]
-    seen, states = search(names, agents=agents)
+    seen, states = search(names, agents=agents, config=OTHERWISE.get(name, CONFIG))
     print(f"{name}: {seen} orders, {states} states")
     assert seen == orders(Counter(names)) and states > 100
 
