Connections of ended processes are marked once a list, not once for each server that left

Cause: found on rereading: a zone lost walked all open connections once a server; and the desk's news asked twice whether it was a stage's. Change: the pool takes all ended addresses at once; one check. Behaviour is the same.

--- a/otterquay/agent/back.py
+++ b/otterquay/agent/back.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from otterquay.agent.outcomes import End, end_of_answer
@@ -89,11 +89,15 @@
         for connection in self.idle.pop(address, []):
             self._close(connection)
 
-    def retire(self, address: str) -> None:
-        """The process behind this address has ended: no connection to it may carry what is sent to the next."""
-        self.close_idle(address)
+    def retire(self, addresses: Iterable[str]) -> None:
+        """The processes behind these have ended: no connection to them may carry what is sent to the next."""
+        if not (ended := set(addresses)):
+            return
+        for address in ended:
+            self.close_idle(address)
         for connection in self.open:
-            connection.spent = connection.spent or connection.address == address
+            if connection.address in ended:
+                connection.spent = True
 
     def close(self) -> None:
         """Close everything; calls that are out end as closed or not connected."""
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -410,8 +410,7 @@
         refused += self._fleet.refused
         for reason in refused[:REFUSED_LOGGED]:
             self.log.warning("list_entry_refused", reason=reason, of=len(refused))
-        for address in self._fleet.ended:
-            self.pool.retire(address)
+        self.pool.retire(self._fleet.ended)
         self.post(told)
         if self._keeper:
             self._keeper.list(self._fleet.entries)
@@ -425,9 +424,9 @@
         told = self._desk.heard(event.id, event.event, event.data.encode(), self._now() * 1e3)
         if told is not None:
             self.post(told)  # first: whatever the store makes of it, the module has heard
-            if self._keeper and isinstance(told, it.StageNews):
-                self._keeper.stage(told)
             if isinstance(told, it.StageNews):
+                if self._keeper:
+                    self._keeper.stage(told)
                 self._tell(self._desk.standing())
 
     # --- votes ---
