The agent serves on the platform's sockets: run and node, one runtime behind ports

Cause: the program spoke HTTP alone, and that was woven into the runtime, so no agent could be started on the platform.

Change: what is HTTP in agent/runtime.py is now behind small protocols (agent/ports.py; agent/web.py fills them); otterquay/node fills them with RESP2, long-poll discovery, the platform's lines and plain datagrams.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -27,6 +27,7 @@
 import uvloop
 
 from otterquay.agent.back import Pool
+from otterquay.agent.web import HttpSpeech
 from otterquay.config.load import parse_service
 from otterquay.logs import silent
 from otterquay.protocol import news
@@ -76,7 +77,7 @@
 
 async def serve_relay(targets: list[str]) -> None:
     """The bare relay: the agent's codec and its pool of connections, a server at random, no decisions."""
-    rng, pool = random.Random(1), Pool(0.25, 15.0, 16384, 4194304, silent())
+    rng, pool = random.Random(1), Pool(0.25, 15.0, HttpSpeech(0, ()), silent())
     skipped = (b"host", b"content-length", b"connection", b"transfer-encoding")
 
     async def client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -174,7 +175,7 @@
     """The agent with a clock around its module: prints the module's microseconds a request when told to end."""
     from otterquay import interface as it
     from otterquay import rules
-    from otterquay.agent import Runtime
+    from otterquay.agent.web import WebAgent
 
     class Timed(rules.Agent):
         spent, requests = 0.0, 0
@@ -190,7 +191,7 @@
     service = parse_service(text, "bench", {
         "agent": {"listen": "127.0.0.1:0"}, "feeds": {"fleet": f"http://{fleet}", "desk": f"http://{desk}"}})
     gc.freeze()
-    runtime, ended = Runtime(service, random.Random(1), silent(), decider=Timed), asyncio.Event()
+    runtime, ended = WebAgent(service, random.Random(1), silent(), decider=Timed), asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, ended.set)
     host, port = await runtime.start()
     print(f"listening {host}:{port}", flush=True)
--- a/otterquay/agent/back.py
+++ b/otterquay/agent/back.py
@@ -6,13 +6,14 @@
 import asyncio
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from typing import Any
 
-from otterquay.agent.outcomes import End, end_of_answer
-from otterquay.config.units import split_address
+from otterquay.addresses import split_address
+from otterquay.agent.outcomes import End
+from otterquay.agent.ports import Parser, Speech
 from otterquay.logs import Logger
-from otterquay.protocol.http import HttpResponse, ProtocolError, ResponseParser, write_request
+from otterquay.protocol.http import ProtocolError
 
-ECHO = b"otterquay-attempt"
 READ_SIZE = 65536
 
 
@@ -23,7 +24,7 @@
     address: str
     tag: bytes
     payload: bytes
-    done: Callable[[Call, End, HttpResponse | None], None]
+    done: Callable[[Call, End, Any | None], None]
     started: float
     connection: Connection | None = None
     timer: asyncio.TimerHandle | None = None
@@ -38,7 +39,7 @@
     address: str
     reader: asyncio.StreamReader
     writer: asyncio.StreamWriter
-    parser: ResponseParser
+    parser: Parser
     idle_since: float
     call: Call | None = None
     task: asyncio.Task[None] | None = None
@@ -52,9 +53,10 @@
 
     connect_timeout_s: float
     keepalive_s: float
-    max_head: int
-    max_answer: int
+    speech: Speech
     log: Logger
+    most: int = 0  # connections at one time; 0 for no bound
+    rest_s: float = 0.0  # what lies idle for less is not used: what came after its answer may not be read yet
     idle: dict[str, list[Connection]] = field(default_factory=dict)
     open: set[Connection] = field(default_factory=set)
     connecting: set[asyncio.Task[None]] = field(default_factory=set)
@@ -63,18 +65,24 @@
 
     def call(
         self, address: str, tag: bytes, payload: bytes, until: float,
-        done: Callable[[Call, End, HttpResponse | None], None],
+        done: Callable[[Call, End, Any | None], None],
     ) -> Call:
         """Start an exchange that is given up at `until`; `done` never runs before this returns."""
         loop = asyncio.get_running_loop()
         call = Call(address, tag, payload, done, loop.time())
         call.timer = loop.call_at(until, self._overdue, call)
-        free = self.idle.get(address)
-        while free:
-            connection = free.pop()
+        rested = loop.time() - self.rest_s
+        for connection in reversed(free := self.idle.get(address, [])):
+            if connection.idle_since > rested:
+                continue
+            free.remove(connection)
             if not (connection.closed or connection.reader.at_eof() or connection.writer.is_closing()):
                 self._write(connection, call)
                 return call
+        if self.most and len(self.open) + len(self.connecting) >= self.most and not self._make_room():
+            self.log.warning("no_room_for_a_connection", address=address, open=len(self.open))
+            loop.call_soon(self._end, call, End.NO_CONNECTION)
+            return call
         call.task = loop.create_task(self._connect(call))
         self.connecting.add(call.task)
         call.task.add_done_callback(self.connecting.discard)
@@ -82,7 +90,8 @@
 
     def cancel(self, call: Call) -> None:
         """Stop waiting; the connection closes, which tells the appliance."""
-        self._end(call, End.CALLED_OFF if call.connection else End.CALLED_OFF_CONNECTING)
+        sent = call.connection and not self._unsent(call.connection)
+        self._end(call, End.CALLED_OFF if sent else End.CALLED_OFF_CONNECTING)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to one appliance."""
@@ -111,10 +120,22 @@
             task.cancel()
         self.idle.clear()
 
+    def _make_room(self) -> bool:
+        """Close the connection that has been idle longest; False when none is."""
+        idle = [c for free in self.idle.values() for c in free]
+        if idle:
+            self._close(min(idle, key=lambda c: c.idle_since))
+        return bool(idle)
+
+    def _unsent(self, connection: Connection) -> bool:
+        """Whether some of a request that runs only when it came whole is still with us."""
+        return self.speech.runs_when_whole and connection.writer.transport.get_write_buffer_size() > 0
+
     def _overdue(self, call: Call) -> None:
-        self._end(call, End.OVERDUE if call.connection else End.OVERDUE_CONNECTING)
+        sent = call.connection and not self._unsent(call.connection)
+        self._end(call, End.OVERDUE if sent else End.OVERDUE_CONNECTING)
 
-    def _end(self, call: Call, end: End, answer: HttpResponse | None = None) -> None:
+    def _end(self, call: Call, end: End, answer: Any | None = None) -> None:
         if call.over:
             return
         call.over = True
@@ -143,7 +164,7 @@
             self.log.info("connect_failed", address=call.address, error=str(error) or type(error).__name__)
             return self._end(call, End.NO_CONNECTION)
         connection = Connection(
-            call.address, reader, writer, ResponseParser(self.max_head, self.max_answer), 0.0
+            call.address, reader, writer, self.speech.parser(), 0.0
         )
         self.open.add(connection)
         self.opened += 1
@@ -159,10 +180,12 @@
 
     async def _read(self, connection: Connection) -> None:
         reader, parser = connection.reader, connection.parser
-        answer: HttpResponse | None
+        answer: Any | None
+        unsent = False
         try:
             while not connection.closed:
                 data = await reader.read(READ_SIZE)
+                unsent = not data and self._unsent(connection)
                 answers = parser.feed(data) if data else []
                 if not data:
                     if (call := connection.call) and (answer := parser.eof()):
@@ -187,14 +210,15 @@
             pass  # a reset (uvloop may call it the latter): what it means for a call that is out is told below
         finally:
             if connection.call:
-                self._end(connection.call, End.CLOSED)
+                self._end(connection.call, End.CLOSED_UNSENT if unsent else End.CLOSED)
             self._close(connection)
 
-    def _answered(self, connection: Connection, call: Call, answer: HttpResponse) -> None:
-        if answer.headers.get(ECHO, call.tag) != call.tag:
+    def _answered(self, connection: Connection, call: Call, answer: Any) -> None:
+        end = self.speech.end(call.tag, answer)
+        if end is End.MISMATCH:
             self.log.warning("answer_out_of_step", address=call.address, expected=call.tag.decode())
-            return self._end(call, End.MISMATCH)
-        self._end(call, end_of_answer(answer.status, answer.headers), answer)
+            return self._end(call, end)
+        self._end(call, end, answer)
 
     def _close(self, connection: Connection) -> None:
         if connection.closed:
@@ -204,7 +228,10 @@
         free = self.idle.get(connection.address)
         if free and connection in free:
             free.remove(connection)
-        connection.writer.close()
+        if self._unsent(connection):
+            connection.writer.transport.abort()  # closing in good order would still write the rest
+        else:
+            connection.writer.close()
         if connection.task and connection.task is not asyncio.current_task():
             connection.task.cancel()
 
@@ -223,8 +250,3 @@
                 del self.idle[address]
         if self.idle:
             self._sweep_later()
-
-
-def probe_payload(address: str, tag: bytes) -> bytes:
-    """A probe: an ordinary GET that an appliance answers beside its queue, with its load report."""
-    return write_request(b"GET", b"/otterquay/probe", [(b"host", address.encode()), (ECHO, tag)])
--- a/otterquay/agent/feeds.py
+++ b/otterquay/agent/feeds.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from otterquay import interface as it
-from otterquay.config.units import parse_address
+from otterquay.addresses import parse_address
 from otterquay.protocol import news
 
 STATES = {"ready": it.ServerState.READY, "draining": it.ServerState.DRAINING, "gone": it.ServerState.GONE}
@@ -83,6 +83,10 @@
         kind = it.ListKind.FULL if fleet.base is None else it.ListKind.DELTA
         return self._take(kind, fleet, now_ms)
 
+    def taken(self, kind: it.ListKind, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
+        """The module's event for news whose source itself sees to order and gaps."""
+        return self._take(kind, fleet, now_ms)
+
     def _take(self, kind: it.ListKind, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
         self.refused, before = [], dict(self.entries)
         if kind is not it.ListKind.DELTA:
--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -11,8 +11,9 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
-from typing import Protocol
 
+from otterquay.addresses import split_address
+from otterquay.agent.ports import Ask, Final, Taker
 from otterquay.agent.standstill import BEAT_S, Standstill
 from otterquay.config.schema import Service
 from otterquay.logs import Logger
@@ -21,53 +22,10 @@
 CLASS, TENANT, KEY = b"otterquay-class", b"otterquay-tenant", b"idempotency-key"
 BUDGET, WORK, RETRY = b"otterquay-budget-ms", b"otterquay-work-ms", b"otterquay-retry"
 ANSWER, RETRY_AFTER = b"otterquay-answer", b"otterquay-retry-after-ms"
+PLAIN = ((b"content-type", b"text/plain; charset=utf-8"),)
 READ_SIZE = 65536
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
-    """A client's request, checked: what the module is told of it, and what goes on to the appliance."""
-
-    http: HttpRequest
-    cls: int
-    tenant: int
-    key: bytes
-    budget_ms: float
-    work_ms: float | None
-    retry: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Final:
-    """The one final answer to a request. Headers and content are the appliance's where it was served."""
-
-    kind: str  # "served", "refused" or "failed"
-    status: int
-    headers: tuple[tuple[bytes, bytes], ...] = ()
-    body: bytes = b""
-    retry_after_ms: float = 0.0
-
-
-class Asker(Protocol):
-    """Who asked: gets the one final answer, word of each attempt, and is told when the books are done with it."""
-
-    number: int | None
-
-    def final(self, answer: Final) -> None: ...
-
-    def attempt(self, count: int) -> None: ...
-
-    def settled(self) -> None: ...
-
-
-class Taker(Protocol):
-    """Who takes requests: sets the client's number, by which it may be abandoned; False when it takes none."""
-
-    def take(self, ask: Ask, client: Asker) -> bool: ...
-
-    def abandon(self, number: int) -> None: ...
-
-
 def _number(headers: dict[bytes, bytes], name: bytes) -> float | None:
     text = headers.get(name)
     if text is None:
@@ -148,8 +106,11 @@
         """Write the final answer in HTTP's words."""
         if answer.kind == "refused":
             return self.answer(refusal("refused", self.keep_alive, answer.retry_after_ms))
-        headers = [(ANSWER, answer.kind.encode()), *answer.headers]
-        self.answer(write_response(answer.status, headers, answer.body, self.keep_alive))
+        status, headers = answer.status, answer.headers
+        if answer.kind == "failed":
+            status, headers = 504 if answer.overdue else 502, PLAIN
+        self.answer(write_response(status, [(ANSWER, answer.kind.encode()), *headers], answer.body,
+                                   self.keep_alive))
 
     def attempt(self, count: int) -> None:
         """HTTP has no word for it that all clients bear."""
@@ -189,8 +150,9 @@
     def __post_init__(self) -> None:
         self._reader = Reader.of(self.service)
 
-    async def start(self, host: str, port: int) -> tuple[str, int]:
+    async def start(self) -> tuple[str, int]:
         """Listen; returns host and port bound. OSError when the address cannot be had."""
+        host, port = split_address(self.service.agent.listen)
         self._server = await asyncio.start_server(self._serve, host, port, backlog=1024)
         name = self._server.sockets[0].getsockname()
         self._standstill = Standstill(asyncio.get_running_loop().time())
--- a/otterquay/agent/outcomes.py
+++ b/otterquay/agent/outcomes.py
@@ -24,6 +24,7 @@
     MISMATCH = "an answer to another attempt"
     NO_CONNECTION = "no connection in time, refused, or no descriptor left"
     CLOSED = "the connection closed or reset under a written request"
+    CLOSED_UNSENT = "the connection closed before the last byte of a request was written that runs only when whole"
     OVERDUE = "no answer by the time given"
     OVERDUE_CONNECTING = "no connection by the time given"
     CALLED_OFF = "cancelled after it was written"
@@ -49,10 +50,11 @@
     End.NO_CONNECTION: Meaning(Status.CONNECT_FAILED, True, "no byte of the request left"),
     End.CLOSED: Meaning(Status.RESET, False, "a stale keep-alive connection looks the same as one whose "
                                              "appliance read the request and died: nothing is proved"),
+    End.CLOSED_UNSENT: Meaning(Status.CONNECT_FAILED, True, "an appliance begins only what it has whole"),
     End.OVERDUE: Meaning(Status.TIMEOUT, False, "it may have run or may still run"),
-    End.OVERDUE_CONNECTING: Meaning(Status.CONNECT_FAILED, True, "no byte of the request left"),
+    End.OVERDUE_CONNECTING: Meaning(Status.CONNECT_FAILED, True, "the request did not leave whole"),
     End.CALLED_OFF: Meaning(Status.CANCELLED, False, "closing the connection may or may not have stopped it"),
-    End.CALLED_OFF_CONNECTING: Meaning(Status.MOOT, True, "no byte of the request left"),
+    End.CALLED_OFF_CONNECTING: Meaning(Status.MOOT, True, "the request did not leave whole"),
     End.NOT_STARTED: Meaning(Status.MOOT, True, "nothing was sent"),
 }
 
--- a/otterquay/agent/peers.py
+++ b/otterquay/agent/peers.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Callable
 
-from otterquay.config.units import split_address
+from otterquay.addresses import split_address
 from otterquay.logs import Logger
 from otterquay.protocol.peer import Deliver, PeerLink, PeerRefused, Transmit
 
@@ -14,17 +14,18 @@
     """One agent's socket to all others; `heard` gets sender and words."""
 
     def __init__(
-        self, link: PeerLink, addresses: dict[int, str], heard: Callable[[int, bytes], None], log: Logger
+        self, me: int, link: PeerLink, addresses: dict[int, str], heard: Callable[[int, bytes], None], log: Logger
     ) -> None:
         self._link, self._heard, self._log = link, heard, log
         self._addresses = {number: split_address(address) for number, address in addresses.items()}
         self._transport: asyncio.DatagramTransport | None = None
+        self._me = me
 
-    async def start(self, me: int) -> None:
+    async def start(self) -> None:
         """Bind our own address. OSError when it cannot be had."""
         loop = asyncio.get_running_loop()
         self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=self._addresses[me]
+            lambda: self, local_addr=self._addresses[self._me]
         )
 
     def close(self) -> None:
--- /dev/null
+++ b/otterquay/agent/web.py
@@ -0,0 +1,249 @@
+"""The agent over HTTP: its ports towards appliances, list and desk, and the program that the commands start."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+import msgspec
+
+from otterquay import interface as it
+from otterquay import rules
+from otterquay.agent.back import Call, Pool
+from otterquay.agent.feeds import DeskBook, FleetBook, Gap
+from otterquay.agent.front import ANSWER, BUDGET, Front
+from otterquay.agent.keeper import Keeper
+from otterquay.agent.outcomes import End, end_of_answer
+from otterquay.agent.peers import PeerSocket
+from otterquay.agent.ports import Ask, Final, Ports, Reply
+from otterquay.agent.runtime import Decider, Runtime
+from otterquay.agent.streams import Restart, Stream
+from otterquay.chat.gateway import Gateway
+from otterquay.chat.hub import News
+from otterquay.config.schema import Service
+from otterquay.config.translate import module_settings
+from otterquay.logs import Logger
+from otterquay.protocol import news, orca
+from otterquay.protocol.http import HOP_BY_HOP, HttpResponse, ResponseParser, write_request
+from otterquay.protocol.peer import PeerLink
+from otterquay.protocol.sse import SseEvent
+from otterquay.store import Store
+
+ECHO, AGENT = b"otterquay-attempt", b"otterquay-agent"
+REFUSED_LOGGED = 20  # lines about refused entries of one list
+SKIPPED = HOP_BY_HOP | {BUDGET, ECHO, AGENT}
+UNANSWERED_SKIPPED = HOP_BY_HOP | {ECHO, ANSWER, orca.HEADER}
+VERDICTS = {
+    it.Verdict.NONE: "none", it.Verdict.ON: "on", it.Verdict.HOLD: "hold", it.Verdict.BACK: "back",
+}
+
+
+class HttpSpeech:
+    """HTTP/1.1 towards appliances; each attempt names itself, and an answer that names another counts as none."""
+
+    runs_when_whole = False  # an appliance may begin on a request whose content is still to come
+
+    def __init__(
+        self, agent: int, fields: Iterable[it.LoadField], max_head: int = 16384, max_answer: int = 4194304
+    ) -> None:
+        self._agent, self._fields, self._bounds = agent, tuple(fields), (max_head, max_answer)
+
+    def parser(self) -> ResponseParser:
+        """For one connection."""
+        return ResponseParser(*self._bounds)
+
+    def attempt(self, ask: Ask, request: int, attempt: int, address: str, left_ms: float) -> tuple[bytes, bytes]:
+        """The client's message with our header fields."""
+        http, tag = ask.message, b"%d-%d" % (request, attempt)
+        headers = [(b"host", address.encode()), (ECHO, tag), (AGENT, b"%d" % self._agent)]
+        headers += [item for item in http.headers.items() if item[0] not in SKIPPED]
+        return tag, write_request(http.method, http.target, headers, http.body)
+
+    def probe(self, server: int, address: str) -> tuple[bytes, bytes]:
+        """An ordinary GET that an appliance answers beside its queue, with its load report."""
+        tag = b"probe-%d" % server
+        return tag, write_request(b"GET", b"/otterquay/probe", [(b"host", address.encode()), (ECHO, tag)])
+
+    def end(self, tag: bytes, answer: HttpResponse) -> End:
+        """Which row an answer belongs to."""
+        if answer.headers.get(ECHO, tag) != tag:
+            return End.MISMATCH
+        return end_of_answer(answer.status, answer.headers)
+
+    def reply(self, answer: HttpResponse) -> Reply:
+        """Its load report, and what the client gets of it."""
+        load = orca.parse(answer.headers.get(orca.HEADER, b""), self._fields)
+        headers = tuple([item for item in answer.headers.items() if item[0] not in UNANSWERED_SKIPPED])
+        return Reply(load, Final("served", answer.status, headers, answer.body))
+
+
+class StreamList:
+    """The server list over server-sent events."""
+
+    def __init__(self, service: Service, runtime: Runtime, rng: random.Random, log: Logger) -> None:
+        self.book, self._runtime, self._log = FleetBook(service.zones), runtime, log
+        feeds = service.feeds
+        self._stream = Stream(
+            feeds.fleet.rstrip("/") + "/v1/fleet", service.agent.number, self._event, self._broken, rng, log,
+            feeds.reconnect_least / 1e3, feeds.reconnect_most / 1e3, feeds.silence / 1e3, feeds.max_event)
+        self._task: asyncio.Task[None] | None = None
+
+    @property
+    def entries(self) -> Mapping[int, news.Entry]:
+        """Servers listed."""
+        return self.book.entries
+
+    def follow(self, on: bool) -> None:
+        """Follow the stream, or stop."""
+        if on and (self._task is None or self._task.done()):
+            self._task = asyncio.get_running_loop().create_task(self._stream.run())
+        elif not on and self._task:
+            self._task.cancel()
+
+    def _event(self, event: SseEvent) -> None:
+        if event.event not in ("full", "delta"):
+            return
+        fleet, refused = news.decode_fleet(event.data)
+        try:
+            told = self.book.heard(event.id, fleet, asyncio.get_running_loop().time() * 1e3)
+        except Gap as gap:
+            raise Restart(str(gap)) from None
+        if told is None:
+            self._log.info("list_repeated", id=event.id)
+            return
+        refused += self.book.refused
+        for reason in refused[:REFUSED_LOGGED]:
+            self._log.warning("list_entry_refused", reason=reason, of=len(refused))
+        self._runtime.listed(told, self.book.ended)
+
+    def _broken(self, reason: str) -> None:
+        if self._runtime.settings.discovery is it.Discovery.ASK:
+            self.follow(False)
+            self._runtime.listed(it.ServerList(it.ListKind.FAILED, 0, ()))
+
+
+class StreamDesk:
+    """The release desk: news over server-sent events, votes by POST."""
+
+    def __init__(self, service: Service, runtime: Runtime, rng: random.Random, log: Logger) -> None:
+        self.book = DeskBook(list(service.class_), len(service.rollout.stage))
+        self._agent, self._runtime, self._log = service.agent.number, runtime, log
+        feeds = service.feeds
+        self._stream = Stream(
+            feeds.desk.rstrip("/") + "/v1/stage", service.agent.number, self._event, lambda _: None, rng, log,
+            feeds.reconnect_least / 1e3, feeds.reconnect_most / 1e3, feeds.silence / 1e3, feeds.max_event)
+        self._task: asyncio.Task[None] | None = None
+        self.capped, self.standing = self.book.capped, self.book.standing
+
+    def start(self) -> None:
+        """Follow the stream."""
+        self._task = asyncio.get_running_loop().create_task(self._stream.run())
+
+    def close(self) -> None:
+        """Stop."""
+        if self._task:
+            self._task.cancel()
+
+    def _event(self, event: SseEvent) -> None:
+        now = asyncio.get_running_loop().time() * 1e3
+        told = self.book.heard(event.id, event.event, event.data.encode(), now)
+        if told is not None:
+            self._runtime.told(told)
+
+    def vote(self, vote: it.CastVote, done: Callable[[it.StageNews], None]) -> None:
+        """Post a vote; `done` gets the module's event for its end."""
+        loop = asyncio.get_running_loop()
+        body = msgspec.json.encode(news.Vote(self._agent, vote.build, vote.stage,
+                                             VERDICTS[vote.verdict]))  # type: ignore[arg-type]
+        address = self._stream.url.split("/")[2]
+        headers = [(b"host", address.encode()), (b"content-type", b"application/json")]
+        payload = write_request(b"POST", b"/v1/votes", headers, body)
+        until = loop.time() + self._runtime.settings.rollout.call_timeout_ms / 1e3
+
+        def ended(_: Call, end: End, answer: HttpResponse | None) -> None:
+            status, decoded = self._read(end, answer)
+            done(self.book.voted(status, decoded, loop.time() * 1e3))
+
+        self._runtime.pool.call(address, b"vote", payload, until, ended)
+
+    def _read(self, end: End, answer: HttpResponse | None) -> tuple[it.Status, news.VoteAnswer | None]:
+        if end in (End.NO_CONNECTION, End.OVERDUE_CONNECTING):
+            return it.Status.ERROR, None
+        if answer is None:
+            return it.Status.TIMEOUT, None  # no answer: it may count
+        if answer.status != 200:
+            return it.Status.FULL if answer.status == 429 else it.Status.ERROR, None
+        try:
+            found: news.VoteAnswer = msgspec.json.decode(answer.body, type=news.VoteAnswer)
+            news.parse_id(found.id)
+            self.book.check(found.state)
+        except (ValueError, msgspec.MsgspecError) as error:
+            self._log.warning("vote_answer_malformed", error=str(error))
+            return it.Status.ERROR, None
+        return it.Status.OK, found
+
+
+class WebAgent(Runtime):
+    """The runtime with HTTP's ports, chat, the store, and messages under a shared key."""
+
+    def __init__(
+        self,
+        service: Service,
+        rng: random.Random,
+        log: Logger,
+        peer_key: bytes | None = None,
+        store: Store | None = None,
+        decider: Callable[[it.Settings, int], Decider] = rules.Agent,
+        chat_key: bytes | None = None,
+    ) -> None:
+        settings, limits, back = module_settings(service), service.limits, service.back
+        speech = HttpSpeech(service.agent.number, settings.report_fields, back.max_head, back.max_answer)
+        pool = Pool(limits.connect_timeout / 1e3, limits.keepalive / 1e3, speech, log)
+        super().__init__(settings, pool, rng, log, decider)
+        self.service = service
+        self._keeper = Keeper(store, settings.rollout.window_ms, log) if store else None
+        self.front = Front(service, self, log)
+        listed, desk = StreamList(service, self, rng, log), StreamDesk(service, self, rng, log)
+        self._fleet, self._desk = listed.book, desk.book
+        peers = None
+        if limits.peers and service.peers and peer_key:
+            link = PeerLink(service.agent.number, service.agent.count, peer_key, rng)
+            addresses = {int(n): a for n, a in service.peers.address.items()}
+            peers = PeerSocket(service.agent.number, link, addresses,
+                               lambda n, d: self.post(it.PeerMessage(n, d)), log)
+        self.gateway: Gateway | None = None
+        if service.chat and chat_key:
+            self.gateway = Gateway(service, chat_key, rng, log, self.take, self.report, store)
+        self.ports = Ports(self.front, listed, desk, speech, self._recalled, peers, self._keeper, self._words)
+
+    def _words(self, text: str) -> None:
+        if self.gateway:
+            self.gateway.feed(News(text))
+
+    def _recalled(self, now_ms: float) -> Iterator[it.Event]:
+        if self._keeper:
+            fleet, events = self._keeper.recall(now_ms)
+            yield from events
+            if fleet:
+                yield self._fleet.cached(fleet, now_ms)
+
+    async def start(self) -> tuple[str, int]:
+        """As the runtime's, and chat beside it."""
+        bound = await super().start()
+        if self.gateway:
+            self.chat_bound = await self.gateway.start()
+            self.log.info("chat_started", listen=f"{self.chat_bound[0]}:{self.chat_bound[1]}")
+        return bound
+
+    async def stop(self, within_s: float | None = None) -> None:
+        """As the runtime's, within the settings' time if no other is given."""
+        if self.gateway:
+            self.gateway.stop_listening()
+        await super().stop(self.service.agent.stop_within / 1e3 if within_s is None else within_s)
+
+    def close(self) -> None:
+        """Close all sockets and timers at once."""
+        super().close()
+        if self.gateway:
+            self.gateway.close()
--- a/otterquay/chat/gateway.py
+++ b/otterquay/chat/gateway.py
@@ -22,13 +22,13 @@
 from websockets.typing import Subprotocol
 from websockets.uri import parse_uri
 
-from otterquay.agent.front import Ask, Asker, Final
+from otterquay.addresses import split_address
+from otterquay.agent.ports import Ask, Asker, Final
 from otterquay.chat import hub as hb
 from otterquay.chat import messages as ms
 from otterquay.chat.ledger import Ledger
 from otterquay.chat.pace import Pace
 from otterquay.config.schema import Service
-from otterquay.config.units import split_address
 from otterquay.logs import Logger
 from otterquay.protocol.http import HttpRequest
 from otterquay.store import Store
--- a/otterquay/cli/root.py
+++ b/otterquay/cli/root.py
@@ -13,7 +13,7 @@
 import click
 import uvloop
 
-from otterquay.agent.runtime import Runtime
+from otterquay.agent.web import WebAgent
 from otterquay.cli.chat import chat
 from otterquay.cli.lab import demo, lab
 from otterquay.cli.standin import standin
@@ -135,12 +135,12 @@
             except (Damaged, OSError) as error:  # traffic is worth more than what was kept; `store repair` saves it
                 log.error("store_not_taken", folder=service.agent.store, reason=str(error))
         try:
-            await serve(Runtime(service, rng, log, key, store, chat_key=chat_key))
+            await serve(WebAgent(service, rng, log, key, store, chat_key=chat_key))
         finally:
             if store:
                 await store.close()
 
-    async def serve(runtime: Runtime) -> None:
+    async def serve(runtime: WebAgent) -> None:
         ended = asyncio.Event()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, ended.set)
--- a/otterquay/cli/standin.py
+++ b/otterquay/cli/standin.py
@@ -11,8 +11,8 @@
 
 import click
 
+from otterquay.addresses import split_address
 from otterquay.config import ConfigError
-from otterquay.config.units import split_address
 from otterquay.lab.day import Day, load_day
 from otterquay.lab.world import World
 from otterquay.standins.appliance import Appliance, DedupBook, Flaw, Shape
--- a/otterquay/config/units.py
+++ b/otterquay/config/units.py
@@ -7,6 +7,8 @@
 
 from pydantic import BeforeValidator, Field
 
+from otterquay.addresses import parse_address
+
 _DURATION = re.compile(r"(\d+(?:\.\d+)?)(ms|s|m|h)")
 _IN_MS = {"ms": 1.0, "s": 1e3, "m": 60e3, "h": 3600e3}
 _SHARE = re.compile(r"(\d+(?:\.\d+)?)%")
@@ -38,20 +40,6 @@
     return int(match[1]) * _IN_BYTES[match[2]]
 
 
-def parse_address(value: Any) -> str:
-    """HOST:PORT with a numeric port, as text; ValueError for anything else."""
-    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f'{value!r} is no address: write "HOST:PORT", such as "127.0.0.1:8080"')
-    return str(value)
-
-
-def split_address(address: str) -> tuple[str, int]:
-    """Host and port of a checked address."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 Duration = Annotated[float, BeforeValidator(parse_duration)]
 Share = Annotated[float, BeforeValidator(parse_share)]
 Size = Annotated[int, BeforeValidator(parse_size)]
--- a/otterquay/lab/hosts.py
+++ b/otterquay/lab/hosts.py
@@ -14,7 +14,8 @@
 
 from otterquay import interface as it
 from otterquay import rules
-from otterquay.agent.runtime import Decider, Runtime
+from otterquay.agent.runtime import Decider
+from otterquay.agent.web import WebAgent
 from otterquay.config.schema import Peers, Service
 from otterquay.lab.disk import FaultDisk
 from otterquay.logs import silent
@@ -68,7 +69,7 @@
     key: bytes
     decider: Callable[[it.Settings, int], Decider] = rules.Agent
     disk: FaultDisk = field(default_factory=lambda: FaultDisk(sector=4096))
-    runtime: Runtime | None = None
+    runtime: WebAgent | None = None
     starts: int = 0
 
     async def start(self) -> str:
@@ -77,7 +78,7 @@
         rng = random.Random(self.place.seed * 1000 + self.starts)
         self.disk = self.disk.killed()
         store = await open_store(self.disk, silent(), asyncio.get_running_loop().time)
-        self.runtime = Runtime(placed(self.service, self.place), rng, silent(), self.key, store,
+        self.runtime = WebAgent(placed(self.service, self.place), rng, silent(), self.key, store,
                                self.decider, self.key if self.place.chat else None)
         host, port = await self.runtime.start()
         return f"{host}:{port}"
--- a/otterquay/logs.py
+++ b/otterquay/logs.py
@@ -6,8 +6,6 @@
 import sys
 from typing import Any
 
-import structlog
-
 Logger = Any  # structlog's loggers take any keyword
 
 
@@ -16,6 +14,8 @@
 
     Lines carry the loop's clock where the caller binds it; the wall clock is left to what collects the lines.
     """
+    import structlog  # here, as it brings rich with it, for which a small agent has no room
+
     renderer: Any = structlog.processors.JSONRenderer()
     if form == "console":
         renderer = structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty())
@@ -30,9 +30,13 @@
 
 def silent() -> Logger:
     """A logger that drops everything, for tests and measurements."""
+    import structlog
+
     silence = structlog.make_filtering_bound_logger(logging.CRITICAL)
     return structlog.wrap_logger(None, processors=[_drop], wrapper_class=silence).bind()
 
 
 def _drop(_: Any, __: str, ___: Any) -> Any:
+    import structlog
+
     raise structlog.DropEvent
--- /dev/null
+++ b/otterquay/node/agent.py
@@ -0,0 +1,75 @@
+"""One agent in service: the runtime with the platform's ports, its planned end and its new addresses."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable, Iterator
+
+from otterquay import interface as it
+from otterquay import rules
+from otterquay.agent.back import Pool
+from otterquay.agent.ports import Ports
+from otterquay.agent.runtime import Decider, Runtime
+from otterquay.logs import Logger
+from otterquay.node.config import NodeConfig
+from otterquay.node.discovery import PolledList
+from otterquay.node.front import Front
+from otterquay.node.peers import PeerSocket
+from otterquay.node.platform import Platform
+from otterquay.node.speech import RespSpeech
+
+KEPT_BACK = 32  # descriptors for listener, feeds, files and the loop
+CLIENTS_PART = 0.45  # of the others: clients may hold a third of all
+IDLE_PART = 0.5  # of the keep-alive, after which an idle connection to an appliance closes
+REST_S = 0.005
+LINGER_S = 0.5  # new connections go on coming for a moment after SIGTERM
+FLUSH_S = 0.3  # for the last answers to leave
+
+
+class Node(Runtime):
+    """The runtime on the platform's sockets. `wall` gives Unix time in seconds."""
+
+    def __init__(
+        self, config: NodeConfig, rng: random.Random, wall: Callable[[], float], log: Logger,
+        decider: Callable[[it.Settings, int], Decider] = rules.Agent,
+    ) -> None:
+        settings, free = config.settings, config.sockets - KEPT_BACK
+        clients = int(free * CLIENTS_PART)
+        speech = RespSpeech(config.report_names)
+        pool = Pool(config.connect_timeout_ms / 1e3, max(settings.limits.keepalive_ms * IDLE_PART, 50.0) / 1e3,
+                    speech, log, free - clients, REST_S)
+        super().__init__(settings, pool, rng, log, decider)
+        self._known = config.known
+        self.front = Front(config.listen, settings, self, clients, log)
+        self.list = PolledList(config.discovery, config.zones, config.kinds, self, rng, wall, log)
+        self.platform = Platform(config.platform, config.news, self, rng, log)
+        peers = None
+        if settings.limits.peers and config.peer_listen:
+            peers = PeerSocket(config.peer_listen, settings.me, config.peers, config.peers_all,
+                               lambda n, d: self.post(it.PeerMessage(n, d)), log)
+        self.ports = Ports(self.front, self.list, self.platform, speech, self._first, peers)
+
+    def _first(self, now_ms: float) -> Iterator[it.Event]:
+        if news := self.platform.begin(now_ms):
+            yield news
+        if self._known and (known := self.list.known(self._known, now_ms)):
+            yield known
+
+    def move(self, config: NodeConfig) -> None:
+        """Follow discovery and platform at the addresses of a new configuration."""
+        self.log.info("reloaded", discovery=config.discovery, platform=config.platform)
+        self.list.move(config.discovery)
+        self.platform.move(config.platform)
+
+    async def leave(self) -> None:
+        """A planned end: still taken for a moment, then nothing new, all that is held answered."""
+        self.log.info("agent_leaving", held=len(self.held))
+        await asyncio.sleep(LINGER_S)
+        longest = max(cls.deadline_ms for cls in self.settings.classes) / 1e3
+        await self.stop(longest + self.settings.rules.answer_slack_ms / 1e3)
+        try:
+            async with asyncio.timeout(FLUSH_S):
+                await self.front.empty.wait()
+        except TimeoutError:
+            self.log.warning("left_with_connections_open", open=len(self.front.clients))
--- /dev/null
+++ b/otterquay/node/config.py
@@ -0,0 +1,139 @@
+"""The configuration file of an agent in service: JSON, checked whole before any of it counts."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta
+
+from otterquay import interface as it
+from otterquay.benchlink.settings import decode
+from otterquay.benchlink.wire import WireError
+from otterquay.protocol.platform import PHASES, State, read_state
+
+FILE_MOST = 16 * 1024 * 1024
+SOCKETS_LEAST = 64
+Address = Annotated[str, Meta(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
+
+
+class ConfigError(Exception):
+    """The file cannot be used; the text says why."""
+
+
+class _Limits(msgspec.Struct, frozen=True):
+    sockets: Annotated[int, Meta(ge=SOCKETS_LEAST)] = 1024
+    cores: float = 1.0
+    memory_mb: float = 192.0
+
+
+class _News(msgspec.Struct, frozen=True):
+    release: int
+    tranche: int
+    mode: str
+    exposure: float
+    old_ms: float = 0.0
+
+
+class _Pipeline(msgspec.Struct, frozen=True):
+    address: Address
+    news: _News | None = None
+
+
+class _File(msgspec.Struct, frozen=True):
+    name: str
+    listen: Address
+    discovery: Address
+    pipeline: _Pipeline
+    settings: msgspec.Raw
+    seed: str | int = 0
+    limits: _Limits = _Limits()
+    peer_listen: Address | None = None
+    peers: list[Address] = []
+    peers_all: Address | None = None
+    known: msgspec.Raw = msgspec.Raw(b"")
+
+
+class _RawLimits(msgspec.Struct, frozen=True, rename="camel"):
+    connect_timeout_ms: Annotated[float, Meta(gt=0, le=60_000)] = 250.0
+
+
+class _RawReport(msgspec.Struct, frozen=True):
+    names: list[str] = []
+
+
+class _RawSettings(msgspec.Struct, frozen=True, rename="camel"):
+    localities: list[str] = []
+    kinds: list[str] = []
+    limits: _RawLimits = _RawLimits()
+    load_report: _RawReport = _RawReport()
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """What one agent is told. Addresses are HOST:PORT; `known` is discovery's JSON or empty."""
+
+    name: str
+    listen: str
+    discovery: str
+    platform: str
+    news: State | None
+    known: bytes
+    peer_listen: str | None
+    peers: tuple[str, ...]
+    peers_all: str | None
+    seed: int
+    sockets: int
+    settings: it.Settings
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    connect_timeout_ms: float
+    report_names: tuple[tuple[bytes, ...], ...]
+
+
+def _seed(seed: str | int) -> int:
+    if isinstance(seed, int):
+        return seed
+    if not re.fullmatch(r"[0-9a-fA-F]{1,64}", seed):
+        raise ConfigError(f"seed: {seed[:80]!r} is no hexadecimal number")
+    return int(seed, 16)
+
+
+def read_config(data: bytes) -> NodeConfig:
+    """The configuration in a file's bytes; ConfigError says what is wrong with it."""
+    if len(data) > FILE_MOST:
+        raise ConfigError(f"over {FILE_MOST} bytes")
+    try:
+        file: _File = msgspec.json.decode(data, type=_File)
+        raw: _RawSettings = msgspec.json.decode(file.settings, type=_RawSettings)
+        settings = decode(bytes(file.settings))
+    except (msgspec.MsgspecError, ValueError, WireError) as error:
+        raise ConfigError(str(error)) from None
+    if len(settings.report_fields) != len(raw.load_report.names):
+        raise ConfigError("loadReport: names are no list of words")
+    state, told = None, file.pipeline.news
+    if told:
+        words = [b"%d" % told.release, b"%d" % told.tranche, told.mode.encode(), b"%.9f" % told.exposure,
+                 b"%.3f" % max(told.old_ms, 0.0)]
+        try:
+            state = read_state(words, len(settings.rollout.stage_cap))
+        except ValueError as error:
+            raise ConfigError(f"pipeline.news: {error}; modes are {b', '.join(PHASES).decode()}") from None
+    return NodeConfig(
+        file.name, file.listen, file.discovery, file.pipeline.address, state, bytes(file.known),
+        file.peer_listen, tuple(file.peers), file.peers_all, _seed(file.seed), file.limits.sockets, settings,
+        tuple(raw.localities) or ("",), tuple(raw.kinds), raw.limits.connect_timeout_ms,
+        tuple((name.encode(), field.value.encode())
+              for name, field in zip(raw.load_report.names, settings.report_fields, strict=True)))
+
+
+def load_config(path: str) -> NodeConfig:
+    """As `read_config`, from a file that may lack or not be readable."""
+    try:
+        with Path(path).open("rb") as file:
+            return read_config(file.read(FILE_MOST + 1))
+    except OSError as error:
+        raise ConfigError(f"{path}: {error.strerror or error}") from None
--- /dev/null
+++ b/otterquay/protocol/targets.py
@@ -0,0 +1,86 @@
+"""Discovery's list, without I/O: JSON entries become entries of the agent's own list book.
+
+`instanceId` becomes the server's number by a hash, so that every agent calls a server by the same number. Times are
+Unix milliseconds and turned into ages by the wall clock that is handed in.
+"""
+
+from __future__ import annotations
+
+import re
+from hashlib import blake2b
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
+
+from otterquay.protocol import news
+
+_STATES: dict[str, Literal["ready", "draining", "gone"]] = {
+    "in_service": "ready", "terminating": "draining", "terminated": "gone",
+}
+_NUMERIC = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
+
+
+class _Instance(msgspec.Struct, frozen=True, rename="camel"):
+    instance_id: Annotated[str, Meta(min_length=1, max_length=128)]
+    lifecycle: Literal["in_service", "terminating", "terminated"]
+    host_port: str = ""
+    zone: str = ""
+    machine_type: str = ""
+    cell: news.Small = 0
+    weight: Annotated[float, Meta(ge=0, le=1e9)] = 1.0
+    started_at_ms: Annotated[float, Meta(ge=0, le=1e15)] = 0.0
+    version_no: news.Small = msgspec.field(default=0, name="version_no")
+
+
+class _List(msgspec.Struct, frozen=True):
+    generation: news.Life
+    reset: bool
+    instances: list[msgspec.Raw]
+
+
+def number_of(instance: str) -> int:
+    """A server's number, the same at every agent."""
+    return int.from_bytes(blake2b(instance.encode(), digest_size=4).digest())
+
+
+def _life(found: _Instance) -> int:
+    """Changes with every start and every build of an instance."""
+    return int.from_bytes(blake2b(f"{found.started_at_ms} {found.version_no}".encode(), digest_size=7).digest())
+
+
+class TargetReader:
+    """Reads lists; remembers which name has which number, to refuse one whose number is taken."""
+
+    def __init__(self, kinds: list[str]) -> None:
+        self._kinds = {name: i for i, name in enumerate(kinds)}
+        self._names: dict[int, str] = {}
+
+    def read(self, data: bytes, wall_ms: float) -> tuple[bool, news.FleetNews, list[str]]:
+        """Whether the list is whole, its entries, and why some were left out. ValueError for what is no list."""
+        try:
+            found: _List = msgspec.json.decode(data, type=_List)
+        except msgspec.MsgspecError as error:
+            raise ValueError(f"no list: {error}") from None
+        entries, refused = list[news.Entry](), list[str]()
+        if found.reset:
+            self._names = {}
+        for raw in found.instances:
+            try:
+                entries.append(self._entry(msgspec.json.decode(raw, type=_Instance), wall_ms))
+            except (ValueError, msgspec.MsgspecError) as error:
+                refused.append(f"{bytes(raw)[:80].decode('utf-8', 'replace')}: {error}")
+        return found.reset, news.FleetNews(found.generation, entries), refused
+
+    def _entry(self, found: _Instance, wall_ms: float) -> news.Entry:
+        if found.lifecycle != "terminated" and not _NUMERIC.fullmatch(found.host_port):
+            raise ValueError(f"{found.host_port!r} is no address")
+        number = number_of(found.instance_id)
+        if self._names.setdefault(number, found.instance_id) != found.instance_id:
+            raise ValueError(f"its number is that of {self._names[number]}")
+        if found.lifecycle == "terminated":
+            del self._names[number]
+        age = wall_ms - found.started_at_ms if found.started_at_ms > 0 else None
+        return news.Entry(
+            number, found.zone, _STATES[found.lifecycle], found.version_no, found.host_port, _life(found),
+            self._kinds.get(found.machine_type, 0), found.cell, found.weight, age)
--- a/otterquay/standins/clients.py
+++ b/otterquay/standins/clients.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from otterquay.addresses import split_address
 from otterquay.agent import front
-from otterquay.config.units import split_address
 from otterquay.protocol.http import HttpResponse, ProtocolError, ResponseParser, write_request
 from otterquay.standins.appliance import OPERATION, WORK
 from otterquay.standins.tape import Answered, Asked, Left, Lost, Surplus, Tape
--- a/otterquay/standins/links.py
+++ b/otterquay/standins/links.py
@@ -6,7 +6,7 @@
 import contextlib
 from dataclasses import dataclass, field
 
-from otterquay.config.units import split_address
+from otterquay.addresses import split_address
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -12,7 +12,7 @@
 
 from otterquay import interface as it
 from otterquay import rules
-from otterquay.agent.runtime import Runtime
+from otterquay.agent.web import WebAgent
 from otterquay.config import Service, parse_service
 from otterquay.lab.disk import FaultDisk
 from otterquay.logs import silent
@@ -100,7 +100,7 @@
         if self.disk is not None:
             self.disk = self.disk.killed()
             store = await open_store(self.disk, silent(), asyncio.get_running_loop().time)
-        self.runtime = Runtime(self.config.model_copy(update={"agent": agent, "feeds": feeds}),
+        self.runtime = WebAgent(self.config.model_copy(update={"agent": agent, "feeds": feeds}),
                                random.Random(self.seed), silent(), None, store, self.decider)
         self.events: list[it.Event] = []
         handle = self.runtime._agent.handle
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -13,8 +13,8 @@
 from rig import Rig, kind, raw, right, run, service, silent_server
 
 from otterquay import interface as it
-from otterquay.agent.front import Ask, Final
 from otterquay.agent.outcomes import TABLE, End
+from otterquay.agent.ports import Ask, Final
 from otterquay.lab.disk import FaultDisk
 from otterquay.protocol import news
 from otterquay.protocol.http import HttpRequest, write_request, write_response
@@ -100,7 +100,7 @@
     for row in TABLE.values():
         assert row.never_ran == (row.status in UNRUN)
     unwritten = {End.TURNED_AWAY, End.NO_CONNECTION, End.OVERDUE_CONNECTING, End.CALLED_OFF_CONNECTING,
-                 End.NOT_STARTED}
+                 End.CLOSED_UNSENT, End.NOT_STARTED}
     assert {end for end, row in TABLE.items() if row.never_ran} == unwritten
 
 
@@ -665,12 +665,12 @@
         ports, heard = free_ports(2), list[tuple[int, bytes]]()
         addresses = {i: f"127.0.0.1:{port}" for i, port in enumerate(ports)}
         sockets = [
-            PeerSocket(PeerLink(i, 2, bytes(32), random.Random(i)), addresses,
+            PeerSocket(i, PeerLink(i, 2, bytes(32), random.Random(i)), addresses,
                        lambda n, d: heard.append((n, d)), silent())
             for i in range(2)
         ]
-        for i, one in enumerate(sockets):
-            await one.start(i)
+        for one in sockets:
+            await one.start()
         loop = asyncio.get_running_loop()
         stranger, _ = await loop.create_datagram_endpoint(
             asyncio.DatagramProtocol, remote_addr=("127.0.0.1", ports[1]))
--- a/tests/test_chat_gateway.py
+++ b/tests/test_chat_gateway.py
@@ -40,18 +40,18 @@
             "chat": SERVICE.chat.model_copy(update=self.changes)}))
 
     async def up(self, fleet: str, desk: str) -> None:
-        from otterquay.agent.runtime import Runtime
+        from otterquay.agent.web import WebAgent
 
-        made = Runtime.__init__
+        made = WebAgent.__init__
 
-        def with_key(self: Runtime, *args: Any, **kwargs: Any) -> None:
+        def with_key(self: WebAgent, *args: Any, **kwargs: Any) -> None:
             made(self, *args, **{**kwargs, "chat_key": KEY})
 
-        Runtime.__init__ = with_key  # type: ignore[method-assign]
+        WebAgent.__init__ = with_key  # type: ignore[method-assign]
         try:
             await super().up(fleet, desk)
         finally:
-            Runtime.__init__ = made  # type: ignore[method-assign]
+            WebAgent.__init__ = made  # type: ignore[method-assign]
 
     @property
     def chat_at(self) -> str:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -8,9 +8,10 @@
 from rig import EXAMPLE
 
 from otterquay import interface as it
+from otterquay.addresses import split_address
 from otterquay.config import ConfigError, load_service, parse_service
 from otterquay.config.translate import module_settings
-from otterquay.config.units import parse_duration, parse_share, parse_size, split_address
+from otterquay.config.units import parse_duration, parse_share, parse_size
 from otterquay.lab.day import load_day
 
 TEXT = EXAMPLE.read_text()
--- a/tests/test_one_clock.py
+++ b/tests/test_one_clock.py
@@ -12,6 +12,8 @@
 ROOT = Path(otterquay.__file__).parent
 # these speak to the machine by their job: processes of the laboratory, the command line, free ports for a run
 MACHINE = {"lab/hosts.py", "lab/play.py", "lab/world.py", "cli/root.py", "cli/lab.py", "cli/standin.py"}
+SEAM = "node/__main__.py"  # the one place that hands in the wall clock and takes signals
+SEAM_MAY = {"import time", "import signal", "time"}
 FORBIDDEN = {"time", "threading", "socket", "select", "selectors", "subprocess", "multiprocessing", "datetime",
              "concurrent", "signal", "secrets", "uuid"}
 BANNED_CALLS = {"to_thread", "run_in_executor", "run_coroutine_threadsafe"}
@@ -39,7 +41,10 @@
 
 @pytest.mark.parametrize("path", SOURCES)
 def test_no_other_clock_network_or_chance(path: str) -> None:
-    assert not faults((ROOT / path).read_text(), path in MACHINE)
+    found = faults((ROOT / path).read_text(), path in MACHINE)
+    if path == SEAM:
+        found = [fault for fault in found if fault not in SEAM_MAY]
+    assert not found
 
 
 @pytest.mark.parametrize("source", [
--- a/tests/test_replaced.py
+++ b/tests/test_replaced.py
@@ -13,6 +13,7 @@
 from otterquay import interface as it
 from otterquay.agent.back import Pool
 from otterquay.agent.feeds import FleetBook
+from otterquay.agent.web import HttpSpeech
 from otterquay.lab.disk import FaultDisk
 from otterquay.logs import silent
 from otterquay.protocol import news
@@ -185,7 +186,7 @@
     async def work() -> None:
         listener = Listener(right)
         await listener.start()
-        pool, ended = Pool(1.0, 10.0, 16384, 1 << 20, silent()), list[HttpResponse | None]()
+        pool, ended = Pool(1.0, 10.0, HttpSpeech(0, ()), silent()), list[HttpResponse | None]()
         for _ in range(3):
             payload = write_request(b"GET", b"/", [(b"host", b"x")])
             pool.call(listener.address, b"t", payload, asyncio.get_running_loop().time() + 5,
