--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -27,6 +27,7 @@
 STUCK_S = 1.5  # answers that the client does not take
 DOOMED_S = 1.0  # what stands before an error, then it is given up
 IDLE_S = 2.0  # a connection between requests: some clients ask once and keep theirs for good
+SETTLED_S = 0.1  # idle for less, a connection may be about to ask
 SWEEP_S = 0.1
 WRITE_MOST = 262144  # bytes that a client has not taken, over which it is not read
 _NAME = re.compile(rb"[!-+\--~]{1,128}")  # printable, no comma or blank
@@ -314,9 +315,12 @@
 
     def shed(self, newest: Client) -> None:
         """One too many: end the idlest, or the new one when all are at work and no more may be."""
-        idle = [c for c in self.clients if not c.slots and c is not newest and c.closing_since is None]
-        client = min(idle, key=lambda c: (not c.silent, c.idle_since), default=newest)
-        if client is newest and len(self.clients) <= self.most:
+        must = len(self.clients) > self.most
+        before = self.now() - (0.0 if must else SETTLED_S)
+        idle = [c for c in self.clients if not c.slots and c.half_since is None and c.idle_since < before
+                and c is not newest and c.closing_since is None]
+        client = min(idle, key=lambda c: c.idle_since, default=newest)
+        if client is newest and not must:
             return
         self.log.info("client_shed", open=len(self.clients), new=client is newest)
         self.clients.discard(client)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -131,6 +131,20 @@
     run(work)
 
 
+def test_a_client_that_writes_slowly_keeps_its_place_while_idle_ones_go() -> None:
+    async def work() -> None:
+        async with Rig(sockets=100) as rig:
+            slow, writer = await rig.connect()
+            command = rig.ask(id="slow")
+            writer.write(command[:30])
+            await rig.until(lambda: any(c.half_since for c in rig.node.front.clients))
+            crowd = [await rig.connect() for _ in range(40)]
+            await rig.until(lambda: len(rig.node.front.clients) <= rig.node.front.most)
+            writer.write(command[30:])
+            assert await answer(slow) == b"for slow" and len(crowd) == 40
+    run(work)
+
+
 @pytest.mark.parametrize("spoilt", [
     b"noise\r\n", b"*3\r\n$3000000000\r\nxxxx", b"*3\r\n$2\r\nvalue\r\n$-1\r\n$-1\r\n", b"-ERR \xfe\r\n",
     b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"+OK\r\n", b"-" + b"E" * 5000,
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -34,6 +34,11 @@
     return it.Status.OK, rng.lognormvariate(4.6, 0.5) * (2.0 if server < 20 else 1.0)
 
 
+def earlier_fails_and_all_wait(server: int, cls: int, rng: random.Random) -> tuple[it.Status, float]:
+    failed = server < 20 and rng.random() < 0.1
+    return it.Status.ERROR if failed else it.Status.OK, rng.lognormvariate(4.6, 0.5) * 1.8
+
+
 def one_earlier_machine_fails(server: int, cls: int, rng: random.Random) -> tuple[it.Status, float]:
     return it.Status.ERROR if server == 1 and rng.random() < 0.8 else it.Status.OK, 100.0
 
@@ -118,6 +123,13 @@
     assert {v.verdict for v in votes} == {it.Verdict.ON}
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_good_trial_is_not_held_where_the_earlier_build_fails_and_jams_both(seed: int) -> None:
+    drive = offered(stage=1, cap=0.5, trials=6, seed=seed)
+    votes = play(drive, earlier_fails_and_all_wait, 25.0)
+    assert {v.verdict for v in votes} == {it.Verdict.ON}
+
+
 def test_a_failing_earlier_machine_is_no_bad_build() -> None:
     assert it.Verdict.BACK not in {v.verdict for v in trial(one_earlier_machine_fails)}
 
