--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -403,9 +403,9 @@
         late = [c for c, cls in enumerate(self.s.classes if own >= 2 * self.n else ())
                 if self._middle(trial, c) > cls.aim_ms >= self._middle(earlier, c) > 0]
         self.late_bins = self.late_bins + 1 if late and self.news.phase is it.Phase.TRIAL else 0
-        n1, s1, n0, s0 = self._totals("own", DEEP)[1]  # log latency, trial and earlier, over the usual of before
-        # against a good build held for what the earlier one does: what slows all slows the trial's servers too,
-        # and an earlier build that fails where the trial does not must be replaced
+        n1, s1, n0, s0 = self._totals("own", DEEP)[1]  # log latency over the usual of before
+        # against a good build held for what the earlier one does: what slows all slows the trial's servers,
+        # too, and an earlier build that fails where the trial does not must be replaced
         n, x, old_n, old_x = self._totals("own", POOL_BINS)[0][-1]
         spared = n1 >= LEVEL_LEAST and (s1 / n1 < WORSE / 2 or old_x > (x / n + ERROR_MARGIN) * old_n)
         worse = self.news.phase is it.Phase.TRIAL and n0 >= LEVEL_LEAST and s0 / n0 > WORSE and not spared
