--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -236,7 +236,8 @@
             return
         server.ok += (good - server.ok) * (0.5 if status in UNRUN else 0.2)
         if good and latency < QUICK * aim:
-            server.limit += 0.5 if len(server.open) + 1 >= LEAST_PART * server.limit else 0.0
+            full = server.limit <= 1.0 or len(server.open) >= LEAST_PART * server.limit
+            server.limit += 0.5 * full
         elif (latency > TARDY * aim or status in UNRUN) and self.now - server.shrunk > SHRINK_MS:
             server.shrunk = self.now
             server.limit = max(min(server.limit, 2.0 * len(server.open) + 2.0) * SHRINK, 1.0)
