--- a/otterquay/rules.py
+++ b/otterquay/rules.py
@@ -408,7 +408,7 @@
         # against a good build held for what the earlier one does: what slows all slows the trial's servers,
         # too, and an earlier build that fails where the trial does not must be replaced
         n, x, old_n, old_x = self._totals("own", POOL_BINS)[0][-1]
-        spared = n1 >= LEVEL_LEAST and (s1 / n1 < WORSE / 2 or old_x > (x / n + ERROR_MARGIN) * old_n)
+        spared = n1 >= LEVEL_LEAST and (s1 / n1 < WORSE / 2 or old_x > ((x + 2) / n + ERROR_MARGIN) * old_n)
         worse = self.news.phase is it.Phase.TRIAL and n0 >= LEVEL_LEAST and s0 / n0 > WORSE and not spared
         self.worse_bins = self.worse_bins + 1 if worse else 0
         slower = "all slower since it came" if self.news.stage and self.worse_bins >= WORSE_BINS else ""
