--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -145,6 +145,29 @@
     run(work)
 
 
+def test_a_client_that_takes_no_answers_is_not_read_on_and_ends() -> None:
+    async def work() -> None:
+        async with Rig() as rig:
+            reader, writer = await rig.connect()
+            reader._transport.pause_reading()  # type: ignore[attr-defined]
+            for one in rig.appliances:
+                one.behave = raw(served(b"x" * 60_000))
+            writer.write(rig.ask())
+            await rig.until(lambda: rig.node.front.clients)
+            most = 0
+            client = next(iter(rig.node.front.clients))
+            for _ in range(20000):
+                if client not in rig.node.front.clients:
+                    break
+                if not writer.transport.is_closing() and not client.paused:
+                    writer.write(rig.ask())
+                most = max(most, client.transport.get_write_buffer_size())
+                await asyncio.sleep(0.002)
+            assert client not in rig.node.front.clients and front.WRITE_MOST < most < 8 * front.WRITE_MOST
+            assert await rig.say(rig.ask()) == b"x" * 60_000, "nobody else is disturbed"
+    run(work)
+
+
 @pytest.mark.parametrize("spoilt", [
     b"noise\r\n", b"*3\r\n$3000000000\r\nxxxx", b"*3\r\n$2\r\nvalue\r\n$-1\r\n$-1\r\n", b"-ERR \xfe\r\n",
     b"*3\r\n$-1\r\n$-1\r\n$-1\r\n", b"+OK\r\n", b"-" + b"E" * 5000,
