One way back after a break, one count of unread answers; reports parsed only where read

Cause: a reading of the whole change. The loop that begins a conversation anew stood three times (streams, discovery, platform), the count of answers that a client does not take twice (both fronts), the lines on refused list entries twice, seen/until in both test rigs. Speech.reply parsed the load report and built the client's answer for every attempt, also where answers hold no reports or the attempt served nobody, which the HTTP agent had not done before. node/front.py kept 'silent', which changed nothing any more; discovery told the need of a whole list by a third value; resp.py marked a step by lengths of -2 and -3; FleetBook.taken only handed on.

Change: agent/again.py, agent/unread.py, FleetBook.log_refused and take, Speech.load and final, tests/rig.py Watch. Behaviour is as it was, but for the reason in the log when a first list is not whole.

--- a/otterquay/agent/feeds.py
+++ b/otterquay/agent/feeds.py
@@ -13,6 +13,7 @@
 
 from otterquay import interface as it
 from otterquay.addresses import parse_address
+from otterquay.logs import Logger
 from otterquay.protocol import news
 
 STATES = {"ready": it.ServerState.READY, "draining": it.ServerState.DRAINING, "gone": it.ServerState.GONE}
@@ -24,6 +25,7 @@
 
 LISTED_MOST = 16384  # servers in the list; further ones are refused
 GONE_MOST = 16384  # servers that left whose last start is kept, so that one that comes back is known again
+REFUSED_LOGGED = 20  # lines about refused entries of one list
 
 
 class Gap(Exception):
@@ -66,7 +68,7 @@
 
     def cached(self, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
         """The list of before a restart: ages as they were written, which takes no server for warmer than it is."""
-        event = self._take(it.ListKind.CACHED, fleet, now_ms)
+        event = self.take(it.ListKind.CACHED, fleet, now_ms)
         self._lives = {}
         return event
 
@@ -81,13 +83,10 @@
             raise Gap(f"changes from version {fleet.base}, held is {self._version}")
         self._epoch, self._version = epoch, version
         kind = it.ListKind.FULL if fleet.base is None else it.ListKind.DELTA
-        return self._take(kind, fleet, now_ms)
+        return self.take(kind, fleet, now_ms)
 
-    def taken(self, kind: it.ListKind, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
+    def take(self, kind: it.ListKind, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
         """The module's event for news whose source itself sees to order and gaps."""
-        return self._take(kind, fleet, now_ms)
-
-    def _take(self, kind: it.ListKind, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
         self.refused, before = [], dict(self.entries)
         if kind is not it.ListKind.DELTA:
             named = {e.server for e in fleet.entries}
@@ -114,6 +113,12 @@
             now[server].address, now[server].incarnation) != (old.address, old.incarnation)]
         return it.ServerList(kind, fleet.version, tuple(told))
 
+    def log_refused(self, unread: Sequence[str], log: Logger) -> None:
+        """Write down which entries of the news taken last were left out, those that could not be read first."""
+        refused = [*unread, *self.refused]
+        for reason in refused[:REFUSED_LOGGED]:
+            log.warning("list_entry_refused", reason=reason, of=len(refused))
+
     def _problem(self, entry: news.Entry) -> str:
         if entry.zone not in self._zones:
             return f"unknown zone {entry.zone!r}"
--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -15,6 +15,7 @@
 from otterquay.addresses import split_address
 from otterquay.agent.ports import Ask, Final, Taker
 from otterquay.agent.standstill import BEAT_S, Standstill
+from otterquay.agent.unread import Unread
 from otterquay.config.schema import Service
 from otterquay.logs import Logger
 from otterquay.protocol.http import HttpRequest, ProtocolError, RequestParser, write_response
@@ -96,9 +97,7 @@
     keep_alive: bool = True
     idle_since: float = 0.0
     head_since: float | None = None
-    written: int = 0
-    taken_off: int = -1  # bytes that the client had taken off us at the last sweep that saw it take some
-    stuck_since: float | None = None
+    unread: Unread = field(default_factory=Unread)
     resuming: asyncio.Task[None] | None = None
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -125,7 +124,7 @@
         self.number = None
         if not self.writer.is_closing():  # it may have gone in this turn; not every loop takes such a write
             self.writer.write(data)
-        self.written += len(data)
+        self.unread.written += len(data)
         if not self.keep_alive:
             self.waiting.clear()
             self.writer.close()
@@ -274,11 +273,7 @@
         now = loop.time()
         for client in list(self.clients):
             unsent = client.writer.transport.get_write_buffer_size()
-            if not unsent or client.written - unsent != client.taken_off:
-                client.taken_off, client.stuck_since = client.written - unsent, None
-            else:
-                client.stuck_since = client.stuck_since or now
-            if client.stuck_since and now - client.stuck_since >= bounds.write_timeout / 1e3:
+            if client.unread.stuck(unsent, now) >= bounds.write_timeout / 1e3:
                 self.log.info("client_ended", reason="does not read", unsent=unsent)
                 client.writer.transport.abort()
             elif client.number is not None or client.waiting:
--- a/otterquay/agent/ports.py
+++ b/otterquay/agent/ports.py
@@ -40,14 +40,6 @@
     overdue: bool = False  # failed, and its last attempt had run out of time
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
-    """An appliance's answer: its load report, empty for none, and what the client gets of it."""
-
-    load: tuple[float, ...]
-    final: Final
-
-
 class Asker(Protocol):
     """Who asked: gets the one final answer, word of each attempt, and is told when the books are done with it."""
 
@@ -104,7 +96,11 @@
     def end(self, tag: bytes, answer: Any) -> End:
         """Which row of the table a whole answer to the call of that tag belongs to."""
 
-    def reply(self, answer: Any) -> Reply: ...
+    def load(self, answer: Any) -> tuple[float, ...]:
+        """Its load report, empty for none."""
+
+    def final(self, answer: Any) -> Final:
+        """What the client gets of an answer that serves."""
 
 
 class FrontPort(Protocol):
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -284,15 +284,14 @@
         if meaning.status is not it.Status.OK:
             self.log.info("attempt_ended", request=held.number, attempt=attempt, server=server,
                           end=end.name.lower())
-        reply = self.ports.speech.reply(answer) if answer else None
-        load = reply.load if reply and self.settings.reports_in_answers else ()
+        load = self.ports.speech.load(answer) if answer and self.settings.reports_in_answers else ()
         latency = (self._now() - call.started) * 1e3
         client = held.client
-        if meaning.status is it.Status.OK and client is not None and reply is not None:
+        if meaning.status is it.Status.OK and client is not None and answer is not None:
             # the module hears of it before the client's next request is taken
             held.client = None
             self.counts["served"] += 1
-            client.final(reply.final)
+            client.final(self.ports.speech.final(answer))
             # the build that the attempt was sent to: another may have taken the server's name since
             if self.ports.keeper and self.settings.rollout.one_way and held.ask.key:
                 self.ports.keeper.answered(key_of(held.ask.key), build, self.ports.desk.capped(build))
@@ -308,7 +307,7 @@
         entry, started = self.ports.list.entries.get(server), self._now()
 
         def done(_: Call, end: End, answer: Any | None) -> None:
-            load = self.ports.speech.reply(answer).load if answer else ()
+            load = self.ports.speech.load(answer) if answer else ()
             self.post(it.ProbeResult(server, TABLE[end].status, (self._now() - started) * 1e3, load))
 
         if entry is None:
--- a/otterquay/agent/streams.py
+++ b/otterquay/agent/streams.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
+from otterquay.agent.again import BREAKS, Again
 from otterquay.logs import Logger
 from otterquay.protocol.http import ProtocolError, ResponseParser, write_request
 from otterquay.protocol.sse import SseError, SseEvent, SseParser
@@ -36,23 +37,22 @@
 
     async def run(self) -> None:
         """Follow until cancelled; waits longer after each failure in a row, at random below the bound."""
-        failures = 0
-        while True:
-            try:
-                await self._follow()
-                reason = "the stream ended"
-            except Restart as restart:
-                self.last_id, reason = "", str(restart)
-            except (OSError, TimeoutError, ProtocolError, SseError, ValueError) as error:
-                reason = str(error) or type(error).__name__
-            except Exception as error:  # a fault of the consumer costs this connection, never the feed
-                self.log.exception("feed_fault", url=self.url)
-                reason = type(error).__name__
-            failures = 0 if self._came else failures + 1
-            self.log.warning("feed_broken", url=self.url, reason=reason, failures=failures)
-            self.broken(reason)
-            most = min(self.most_s, self.least_s * 2**min(failures, 16))
-            await asyncio.sleep(self.rng.uniform(self.least_s, max(most, self.least_s)))
+        again = Again(self._once, lambda: self._came, self._broken, self.log.bind(url=self.url), "feed_fault",
+                      self.rng, self.least_s, self.most_s, (*BREAKS, SseError))
+        await again.run()
+
+    async def _once(self) -> str:
+        try:
+            await self._follow()
+        except Restart as restart:
+            self.last_id = ""
+            return str(restart)
+        return "the stream ended"
+
+    def _broken(self, reason: str, failures: int) -> bool:
+        self.log.warning("feed_broken", url=self.url, reason=reason, failures=failures)
+        self.broken(reason)
+        return False
 
     async def _follow(self) -> None:
         self._came = False
--- a/otterquay/agent/web.py
+++ b/otterquay/agent/web.py
@@ -16,7 +16,7 @@
 from otterquay.agent.keeper import Keeper
 from otterquay.agent.outcomes import End, end_of_answer
 from otterquay.agent.peers import PeerSocket
-from otterquay.agent.ports import Ask, Final, Ports, Reply
+from otterquay.agent.ports import Ask, Final, Ports
 from otterquay.agent.runtime import Decider, Runtime
 from otterquay.agent.streams import Restart, Stream
 from otterquay.chat.gateway import Gateway
@@ -31,7 +31,6 @@
 from otterquay.store import Store
 
 ECHO, AGENT = b"otterquay-attempt", b"otterquay-agent"
-REFUSED_LOGGED = 20  # lines about refused entries of one list
 SKIPPED = HOP_BY_HOP | {BUDGET, ECHO, AGENT}
 UNANSWERED_SKIPPED = HOP_BY_HOP | {ECHO, ANSWER, orca.HEADER}
 VERDICTS = {
@@ -71,11 +70,14 @@
             return End.MISMATCH
         return end_of_answer(answer.status, answer.headers)
 
-    def reply(self, answer: HttpResponse) -> Reply:
-        """Its load report, and what the client gets of it."""
-        load = orca.parse(answer.headers.get(orca.HEADER, b""), self._fields)
+    def load(self, answer: HttpResponse) -> tuple[float, ...]:
+        """Its load report."""
+        return orca.parse(answer.headers.get(orca.HEADER, b""), self._fields)
+
+    def final(self, answer: HttpResponse) -> Final:
+        """What the client gets of it."""
         headers = tuple([item for item in answer.headers.items() if item[0] not in UNANSWERED_SKIPPED])
-        return Reply(load, Final("served", answer.status, headers, answer.body))
+        return Final("served", answer.status, headers, answer.body)
 
 
 class StreamList:
@@ -112,9 +114,7 @@
         if told is None:
             self._log.info("list_repeated", id=event.id)
             return
-        refused += self.book.refused
-        for reason in refused[:REFUSED_LOGGED]:
-            self._log.warning("list_entry_refused", reason=reason, of=len(refused))
+        self.book.log_refused(refused, self._log)
         self._runtime.listed(told, self.book.ended)
 
     def _broken(self, reason: str) -> None:
--- a/otterquay/node/discovery.py
+++ b/otterquay/node/discovery.py
@@ -8,6 +8,7 @@
 
 from otterquay import interface as it
 from otterquay.addresses import split_address
+from otterquay.agent.again import Again
 from otterquay.agent.feeds import FleetBook
 from otterquay.agent.runtime import Runtime
 from otterquay.logs import Logger
@@ -20,7 +21,6 @@
 PATIENCE_S = 1.0  # for an answer beyond the wait that was asked for
 AGAIN_S = (0.02, 0.5)  # after a broken connection, at random; doubled from the least up
 LIST_MOST = 8 * 1024 * 1024  # bytes of one answer
-REFUSED_LOGGED = 20
 
 
 class PolledList:
@@ -33,7 +33,7 @@
         self._address, self._runtime, self._rng, self._wall, self._log = address, runtime, rng, wall, log
         self.book, self._reader = FleetBook(zones), TargetReader(list(kinds))
         self._task: asyncio.Task[None] | None = None
-        self._generation = -1
+        self._generation, self._came = -1, False  # and whether this connection brought another
 
     @property
     def entries(self) -> Mapping[int, news.Entry]:
@@ -46,8 +46,8 @@
             _, fleet, refused = self._reader.read(data, self._wall() * 1e3)
         except ValueError as error:
             return self._log.warning("known_list_unreadable", reason=str(error))  # type: ignore[no-any-return]
-        event = self.book.taken(it.ListKind.CACHED, fleet, now_ms)
-        self._tell_refused(refused)
+        event = self.book.take(it.ListKind.CACHED, fleet, now_ms)
+        self.book.log_refused(refused, self._log)
         return event
 
     def follow(self, on: bool) -> None:
@@ -65,27 +65,21 @@
         self.follow(following)
 
     async def _run(self) -> None:
-        failures = 0
-        while True:
-            heard = self._generation
-            try:
-                await self._converse()
-                reason = "the connection ended"
-            except (OSError, TimeoutError, ProtocolError, ValueError) as error:
-                reason = str(error) or type(error).__name__
-            except Exception as error:  # a fault of ours costs this connection, never the feed
-                self._log.exception("discovery_fault")
-                reason = type(error).__name__
-            failures = 0 if self._generation != heard else failures + 1
-            self._log.warning("discovery_broken", address=self._address, reason=reason, failures=failures)
-            if self._runtime.settings.discovery is it.Discovery.ASK:
-                self._task = None
-                return self._runtime.listed(it.ServerList(it.ListKind.FAILED, 0, ()))
-            least, most = AGAIN_S
-            await asyncio.sleep(self._rng.uniform(least, min(most, least * 2 ** min(failures, 8))))
-
-    async def _converse(self) -> None:
-        """One connection: the whole list, then watches until it breaks."""
+        again = Again(self._converse, lambda: self._came, self._broken, self._log, "discovery_fault", self._rng,
+                      *AGAIN_S)
+        await again.run()
+
+    def _broken(self, reason: str, failures: int) -> bool:
+        self._log.warning("discovery_broken", address=self._address, reason=reason, failures=failures)
+        ask = self._runtime.settings.discovery is it.Discovery.ASK
+        if ask:
+            self._task = None
+            self._runtime.listed(it.ServerList(it.ListKind.FAILED, 0, ()))
+        return ask
+
+    async def _converse(self) -> str:
+        """One connection: the whole list, then watches until it breaks; returns why it ended."""
+        self._came = False
         host, port = split_address(self._address)
         async with asyncio.timeout(PATIENCE_S):
             reader, writer = await asyncio.open_connection(host, port)
@@ -95,11 +89,9 @@
                 writer.write(write_request(b"GET", target.encode(), [(b"host", self._address.encode())]))
                 async with asyncio.timeout(wait_s + PATIENCE_S):
                     answer = await self._answer(reader, parser)
-                whole = self._take(answer, wait_s == 0.0)
+                self._take(answer, wait_s == 0.0)
                 if not answer.keep_alive:
-                    return
-                if whole is None:
-                    raise ValueError("changes to a list that is not held")
+                    return "the connection ended"
                 target, wait_s = f"{PATH}?after={self._generation}&wait_ms={WAIT_MS}", WAIT_MS / 1e3
         finally:
             writer.close()
@@ -117,24 +109,18 @@
             return last
         raise ProtocolError(502, "the connection ended before the answer")
 
-    def _take(self, answer: HttpResponse, first: bool) -> bool | None:
-        """Tell the module; None for changes where the whole list was needed."""
+    def _take(self, answer: HttpResponse, first: bool) -> None:
+        """Tell the module; ValueError for changes to a list that is not held, as the first must be whole."""
         if answer.status != 200:
             raise ProtocolError(502, f"answered {answer.status}")
         whole, fleet, refused = self._reader.read(answer.body, self._wall() * 1e3)
-        if first and not whole:
-            return None
-        if not whole and fleet.version < self._generation:
-            raise ValueError(f"generation {fleet.version} after {self._generation}")
+        if not whole and (first or fleet.version < self._generation):
+            held = "none" if first else self._generation
+            raise ValueError(f"changes to generation {fleet.version}, held is {held}")
+        self._came |= fleet.version != self._generation
         self._generation = fleet.version
         if whole or fleet.entries:
             kind = it.ListKind.FULL if whole else it.ListKind.DELTA
-            told = self.book.taken(kind, fleet, asyncio.get_running_loop().time() * 1e3)
+            told = self.book.take(kind, fleet, asyncio.get_running_loop().time() * 1e3)
             self._runtime.listed(told, self.book.ended)
-        self._tell_refused(refused)
-        return whole
-
-    def _tell_refused(self, refused: list[str]) -> None:
-        refused += self.book.refused
-        for reason in refused[:REFUSED_LOGGED]:
-            self._log.warning("list_entry_refused", reason=reason, of=len(refused))
+        self.book.log_refused(refused, self._log)
--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -9,24 +9,24 @@
 import asyncio
 import re
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import cast
 
 from otterquay import interface as it
 from otterquay.addresses import split_address
 from otterquay.agent.ports import Ask, Final, Taker
 from otterquay.agent.standstill import BEAT_S, Standstill
+from otterquay.agent.unread import Unread
 from otterquay.logs import Logger
 from otterquay.protocol import resp
 from otterquay.protocol.http import ProtocolError
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
 PIPELINED_MOST = 32  # commands of one connection without an answer
-SILENT_S = 2.0  # a connection that never asked for anything
 HALF_S = 1.5  # a command that has begun
 STUCK_S = 1.5  # answers that the client does not take
 DOOMED_S = 1.0  # what stands before an error, then it is given up
-IDLE_S = 2.0  # a connection between requests: some clients ask once and keep theirs for good
+IDLE_S = 2.0  # a connection without a request: some say nothing, some ask once and keep theirs for good
 SETTLED_S = 0.1  # idle for less, a connection may be about to ask
 SWEEP_S = 0.1
 WRITE_MOST = 262144  # bytes that a client has not taken, over which it is not read
@@ -113,14 +113,12 @@
 class Client(asyncio.Protocol):
     """One client connection. Times are seconds of the loop's clock."""
 
-    __slots__ = ("closing_since", "front", "half_since", "idle_since", "parser", "paused", "silent", "slots",
-                 "stuck_since", "taken_off", "transport", "written")
+    __slots__ = ("closing_since", "front", "half_since", "idle_since", "parser", "paused", "slots", "transport",
+                 "unread")
 
     def __init__(self, front: Front) -> None:
         self.front, self.parser, self.slots = front, resp.CommandParser(), deque[Slot]()
-        self.silent, self.paused = True, False
-        self.written, self.taken_off = 0, -1
-        self.stuck_since: float | None = None
+        self.paused, self.unread = False, Unread()
         self.half_since: float | None = None
         self.closing_since: float | None = None  # nothing more is read: what is owed, then the end
 
@@ -170,8 +168,6 @@
             self.half_since = None
         elif commands or self.half_since is None:
             self.half_since = now
-        if commands:
-            self.silent = False
         for words in commands:
             self._command(words, now)
         if self.parser.failed:
@@ -181,7 +177,6 @@
         name = words[0].upper()
         if name in (QUERY, SUBMIT):
             return self._request(words, now)
-        self.idle_since = now
         if name == b"PING" and len(words) <= 2:
             self._say(b"+PONG\r\n" if len(words) == 1 else resp.bulk(words[1]))
         elif name in (b"CLIENT", b"SELECT"):
@@ -202,7 +197,7 @@
             return self._say(resp.error(f"ERR {error.reason}"))
         waited = front.standstill.waited(now) * 1e3
         if waited > 1.0:  # the client's time ran on
-            ask = Ask(ask.message, ask.cls, ask.tenant, ask.key, max(ask.budget_ms - waited, 0.0), None, ask.retry)
+            ask = replace(ask, budget_ms=max(ask.budget_ms - waited, 0.0))
         slot = Slot(self, words[2])
         self.slots.append(slot)
         front.ids.add(slot.id)
@@ -222,7 +217,7 @@
         if ready and not self.transport.is_closing():
             data = b"".join(ready)
             self.transport.write(data)
-            self.written += len(data)
+            self.unread.written += len(data)
             self.idle_since = self.front.now()
         if not self.slots and (self.closing_since is not None or self.front.leaving):
             self.transport.close()
@@ -340,11 +335,7 @@
         now = self.now()
         for client in list(self.clients):
             unsent = client.transport.get_write_buffer_size()
-            if not unsent or client.written - unsent != client.taken_off:
-                client.taken_off, client.stuck_since = client.written - unsent, None
-            else:
-                client.stuck_since = client.stuck_since or now
-            if client.stuck_since and now - client.stuck_since >= STUCK_S:
+            if client.unread.stuck(unsent, now) >= STUCK_S:
                 self.log.info("client_ended", reason="does not read", unsent=unsent)
                 client.transport.abort()
             elif client.closing_since is not None:
@@ -352,6 +343,6 @@
                     client.give_up()
             elif client.half_since and now - client.half_since >= HALF_S:
                 client.doom("half a command")
-            elif not client.slots and now - client.idle_since >= (SILENT_S if client.silent else IDLE_S):
+            elif not client.slots and now - client.idle_since >= IDLE_S:
                 client.transport.close()
         self._sweeper = self._loop.call_later(SWEEP_S, self._sweep)
--- a/otterquay/node/platform.py
+++ b/otterquay/node/platform.py
@@ -9,6 +9,7 @@
 
 from otterquay import interface as it
 from otterquay.addresses import split_address
+from otterquay.agent.again import BREAKS, Again
 from otterquay.agent.runtime import Runtime
 from otterquay.logs import Logger
 from otterquay.protocol import platform as words
@@ -89,23 +90,16 @@
             self._writer.transport.abort()  # a later answer would be taken for that to the next call
 
     async def _run(self) -> None:
-        failures = 0
-        while True:
-            self._came = False
-            try:
-                await self._converse()
-                reason = "the connection ended"
-            except (OSError, TimeoutError, ValueError, RuntimeError) as error:
-                reason = str(error) or type(error).__name__
-            except Exception as error:  # a fault of ours costs this connection, never the feed
-                self._log.exception("platform_fault")
-                reason = type(error).__name__
-            failures = 0 if self._came else failures + 1
-            self._log.warning("platform_broken", address=self._address, reason=reason, failures=failures)
-            least, most = AGAIN_S
-            await asyncio.sleep(self._rng.uniform(least, min(most, least * 2 ** min(failures, 8))))
-
-    async def _converse(self) -> None:
+        again = Again(self._converse, lambda: self._came, self._broken, self._log, "platform_fault", self._rng,
+                      *AGAIN_S, (*BREAKS, RuntimeError))
+        await again.run()
+
+    def _broken(self, reason: str, failures: int) -> bool:
+        self._log.warning("platform_broken", address=self._address, reason=reason, failures=failures)
+        return False
+
+    async def _converse(self) -> str:
+        self._came = False
         host, port = split_address(self._address)
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(host, port, limit=words.LINE_MOST)
@@ -120,6 +114,7 @@
         except asyncio.IncompleteReadError as error:
             if error.partial:
                 raise words.Noise(f"a line without an end: {error.partial[:80]!r}") from None
+            return "the connection ended"
         except asyncio.LimitOverrunError:
             raise words.Noise("a line over its bound") from None
         finally:
--- a/otterquay/node/speech.py
+++ b/otterquay/node/speech.py
@@ -6,7 +6,7 @@
 from collections.abc import Sequence
 
 from otterquay.agent.outcomes import End
-from otterquay.agent.ports import Ask, Final, Reply
+from otterquay.agent.ports import Ask, Final
 from otterquay.protocol import resp
 
 
@@ -42,9 +42,13 @@
             return End.TURNED_AWAY if words[0] == b"BUSY" and len(words) <= 2 else End.SERVER_ERROR
         return End.GARBAGE  # an answer to something else than a request
 
-    def reply(self, answer: resp.Answer) -> Reply:
-        """Its load report, and the value that the client gets."""
+    def load(self, answer: resp.Answer) -> tuple[float, ...]:
+        """Its load report."""
         report = answer.value if answer.kind == b"$" else answer.load
         if answer.kind == b"-":
             report = answer.value.rpartition(b" ")[2]
-        return Reply(resp.load_report(report, self._names), Final("served", body=answer.value))
+        return resp.load_report(report, self._names)
+
+    def final(self, answer: resp.Answer) -> Final:
+        """The value, which is what the client gets."""
+        return Final("served", body=answer.value)
--- a/otterquay/protocol/resp.py
+++ b/otterquay/protocol/resp.py
@@ -149,7 +149,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._kind, self._step, self._size = b"", 0, -2  # step: parts of the array that have come
+        self._kind, self._step, self._size = b"", -1, -1  # step: parts of an array that have come
         self._value = b""
 
     @property
@@ -202,13 +202,13 @@
         return self._whole(Answer(b"$", value))
 
     def _array(self) -> Answer | None:
-        if self._size == -2 and self._step == 0:
+        if self._step < 0:
             count = self._length(b"*", WORDS_MOST)
             if count is None:
                 return None
             if count != 3:
                 raise ProtocolError(502, f"an array of {count}")
-            self._size = -3
+            self._step = 0
         while True:
             part = self._part()
             if part is None:
@@ -235,11 +235,11 @@
             self._size = size
         bulk = self._bulk(self._size)
         if bulk is not None:
-            self._size = -3
+            self._size = -1
         return bulk
 
     def _whole(self, answer: Answer) -> Answer:
-        self._kind, self._step, self._size, self._value = b"", 0, -2, b""
+        self._kind, self._step, self._size, self._value = b"", -1, -1, b""
         return answer
 
 
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -14,6 +14,7 @@
 from otterquay.node.agent import Node
 from otterquay.node.config import NodeConfig, read_config
 from otterquay.protocol import resp
+from tests.rig import Watch
 
 CLASSES = [
     {"name": "lobby-read", "effect": "idempotent", "deadlineMs": 6000.0, "onTimeMs": 1500.0, "lateWorth": 0.2},
@@ -174,7 +175,7 @@
             writer.write(data)
 
 
-class Rig:
+class Rig(Watch):
     """Use as `async with`; one agent and `count` appliances `s-0`, `s-1`, … of build 1 in the north."""
 
     def __init__(self, count: int = 2, sockets: int = 256, seed: int = 1, **changes: Any) -> None:
@@ -220,18 +221,6 @@
             party.close()
         await asyncio.sleep(0)
 
-    def seen(self, kind: type) -> list[Any]:
-        """Events of a kind that the module got."""
-        return [e for e in self.events if isinstance(e, kind)]
-
-    async def until(self, true: Callable[[], object]) -> None:
-        """Wait until something holds; the test fails by its own check when it never does."""
-        for _ in range(2000):
-            if true():
-                return
-            await asyncio.sleep(0.005)
-        raise AssertionError("what was waited for did not come about")
-
     # --- clients ---
     def ask(self, cls: str = "lobby-read", d: object = 2000, id: str | None = None, **options: str) -> bytes:
         """The bytes of a request."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -64,7 +64,25 @@
         self.behave(peer, request)
 
 
-class Rig:
+class Watch:
+    """What both rigs look at: the events that the module got."""
+
+    events: list[it.Event]
+
+    def seen(self, kind: type) -> list[Any]:
+        """Events of a kind that the module got."""
+        return [e for e in self.events if isinstance(e, kind)]
+
+    async def until(self, true: Callable[[], object]) -> None:
+        """Wait until something holds; the test fails by its own check when it never does."""
+        for _ in range(2000):
+            if true():
+                return
+            await asyncio.sleep(0.005)
+        raise AssertionError("what was waited for did not come about")
+
+
+class Rig(Watch):
     """Use as `async with`; one agent, `servers` appliances of build 1 in its zone."""
 
     def __init__(
@@ -126,18 +144,6 @@
         self.desk.close()
         await asyncio.sleep(0)
 
-    def seen(self, kind: type) -> list[Any]:
-        """Events of a kind that the module got."""
-        return [e for e in self.events if isinstance(e, kind)]
-
-    async def until(self, true: Callable[[], object]) -> None:
-        """Wait until something holds; the test fails by its own check when it never does."""
-        for _ in range(2000):
-            if true():
-                return
-            await asyncio.sleep(0.005)
-        raise AssertionError("what was waited for did not come about")
-
     # --- feeds ---
     def _whole(self, agent: int, last: int | None) -> list[tuple[str, str, int]]:
         if last == self.version:
