A signal after the loop has closed no longer changes how the process ends

Observed by test: SIGHUP, SIGTERM or SIGINT sent after the loop had closed ended a process that had ended well by -1, -15 or -2, in 1 to 2 of 3 cases a run. Closing the loop gives signals back to their defaults. At fault: asyncio.Runner's close in node/__main__.py. Change: the loop stays open, and the process ends by _exit once the log has left. Tests: the real process, 14 of them, through the module's own command: SIGTERM twice with requests held and a reload in the drain; what never gets its answer is failed before the end; SIGTERM and SIGHUP before the loop stands; the three after it; half, empty and foreign files at a reload (one line each, the old one stays) and at the start (exit 2, one line); a client that asks and leaves while the process stands still; a rolling restart of three processes under load with cuts: no request without an answer, no process that serves nobody, every exit 0.

--- a/otterquay/node/__main__.py
+++ b/otterquay/node/__main__.py
@@ -9,8 +9,7 @@
 import signal
 
 _EARLY: list[int] = []  # signals that came before the loop could take them
-HANDLED = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-for _number in HANDLED:
+for _number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
     signal.signal(_number, lambda number, _: _EARLY.append(number))
 
 import asyncio  # noqa: E402 - the handlers stand before anything slow
@@ -55,19 +54,17 @@
         reload()
     await ended.wait()
     await node.leave()
-    # the loop's end gives signals back to their defaults: what still comes must not change how the process ends
-    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED)
 
 
 def main() -> int:
-    """The program."""
+    """The program. The loop stays open: closing it gives signals back to their defaults, by which one that comes as
+    late as that would end a process that has ended well."""
     path = os.environ.get("PROXY_CONFIG", "")
     try:
         if not path:
             raise ConfigError("PROXY_CONFIG names no file")
         config = load_config(path)
-        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(serve(path, config))
+        uvloop.new_event_loop().run_until_complete(serve(path, config))
     except (ConfigError, OSError) as error:
         print(f"otterquay: cannot start: {error}", file=sys.stderr)
         return 2
@@ -75,4 +72,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    _code = main()
+    sys.stderr.flush()
+    os._exit(_code)  # as the interpreter's own end does
--- /dev/null
+++ b/tests/crossings/test_process.py
@@ -0,0 +1,259 @@
+"""The real process, `python -m otterquay.node`: signals at every stage of its life, and how it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.crossings.forcing import run
+from tests.noderig import Rig, answer, quiet, served
+
+ROOT = Path(__file__).parent.parent.parent
+READY = "agent_started"
+
+
+class Process:
+    """One agent as a process of its own, between the parties of a rig; its log lines are kept."""
+
+    def __init__(self, file: Path, program: list[str]) -> None:
+        self.file, self.program, self.said = file, program, list[dict[str, Any]]()
+        self.raw: list[str] = []
+
+    async def start(self) -> None:
+        """Start it; returns at once."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, *self.program, stderr=asyncio.subprocess.PIPE, cwd=ROOT,
+            env={**os.environ, "PROXY_CONFIG": str(self.file), "PYTHONPATH": str(ROOT)})
+        self._reading = asyncio.ensure_future(self._read())
+
+    async def _read(self) -> None:
+        assert self.process.stderr
+        async for line in self.process.stderr:
+            self.raw.append(line.decode())
+            if line.startswith(b"{"):
+                self.said.append(json.loads(line))
+
+    async def heard(self, event: str, times: int = 1) -> dict[str, Any]:
+        """Wait for a log line of this event, the last of so many."""
+        async with asyncio.timeout(30):
+            while len(lines := [line for line in self.said if line["event"] == event]) < times:
+                assert not self._reading.done(), f"it ended: {self.raw}"
+                await asyncio.sleep(0.005)
+        return lines[times - 1]
+
+    async def ended(self) -> int:
+        """Its exit code, once it has ended; negative for a signal."""
+        async with asyncio.timeout(30):
+            code = await self.process.wait()
+            await self._reading
+        return code
+
+    def signal(self, number: int) -> None:
+        """Send it a signal."""
+        self.process.send_signal(number)
+
+
+@asynccontextmanager
+async def started(rig: Rig, code: str = "", ready: bool = True, **changes: Any) -> AsyncIterator[Process]:
+    """An agent beside the rig's own, told of the same parties; `code` is run in place of the module."""
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "config.json"
+        file.write_bytes(rig.file(**changes))
+        one = Process(file, ["-c", code] if code else ["-m", "otterquay.node"])
+        await one.start()
+        try:
+            if ready:
+                host, port = (await one.heard(READY))["listen"].split(":")
+                rig.address = (host, int(port))
+            yield one
+        finally:
+            if one.process.returncode is None:
+                one.process.kill()
+                await one.ended()
+
+
+def test_sigterm_twice_answers_what_is_held_and_ends_with_zero() -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig, started(rig) as one:
+            held: list[tuple[asyncio.StreamWriter, bytes]] = []
+            rig.appliances[0].behave = lambda _, writer, words: held.append((writer, words[2]))
+            reader, writer = await rig.connect()
+            writer.write(rig.ask(id="before"))
+            await rig.until(lambda: held)
+            one.signal(signal.SIGTERM)
+            await one.heard("agent_leaving")
+            one.signal(signal.SIGTERM)
+            one.signal(signal.SIGHUP)  # a reload while it drains is taken and disturbs nothing
+            await one.heard("reloaded")
+            held[0][0].write(served(b"for before"))
+            assert [await answer(reader), await answer(reader)] == [b"for before", b""]
+            assert await one.ended() == 0 and not [line for line in one.raw if "Traceback" in line]
+    run(work)
+
+
+def test_what_never_gets_its_answer_is_failed_before_the_process_ends() -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig, started(rig) as one:
+            rig.appliances[0].behave = quiet
+            reader, writer = await rig.connect()
+            writer.write(rig.ask(id="held", d=6000))
+            await rig.until(lambda: rig.appliances[0].got)
+            one.signal(signal.SIGTERM)
+            assert [await answer(reader), await answer(reader)] == [b"-ERR the agent ends", b""]
+            assert await one.ended() == 0
+            assert (await one.heard("agent_leaving"))["within_s"] < 3.7
+    run(work)
+
+
+EARLY = "import os, signal, sys\nimport otterquay.node.__main__ as program\n"
+
+
+def test_sigterm_before_the_loop_stands_ends_it_without_a_listener() -> None:
+    async def work() -> None:
+        code = EARLY + "os.kill(os.getpid(), signal.SIGTERM)\nsys.exit(program.main())"
+        async with Rig(count=1) as rig, started(rig, code, ready=False) as one:
+            assert await one.ended() == 0
+            assert [line["event"] for line in one.said] == ["ended_before_start"]
+    run(work)
+
+
+def test_a_reload_before_the_loop_stands_is_followed_after_the_start() -> None:
+    async def work() -> None:
+        code = EARLY + "os.kill(os.getpid(), signal.SIGHUP)\nsys.exit(program.main())"
+        async with Rig(count=1) as rig, started(rig, code) as one:
+            await one.heard("reloaded")
+            assert await rig.say(rig.ask(id="served")) == b"for served"
+            one.signal(signal.SIGTERM)
+            assert await one.ended() == 0
+    run(work)
+
+
+@pytest.mark.parametrize("late", ["SIGHUP", "SIGTERM", "SIGINT"])
+def test_a_signal_after_the_loop_has_closed_does_not_change_how_it_ends(late: str) -> None:
+    async def work() -> None:
+        code = EARLY + f"code = program.main()\nos.kill(os.getpid(), signal.{late})\nsys.exit(code)"
+        async with Rig(count=1) as rig, started(rig, code) as one:
+            one.signal(signal.SIGTERM)
+            assert await one.ended() == 0
+    run(work)
+
+
+def test_a_bad_file_at_a_reload_is_one_line_and_the_old_one_stays() -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig, Rig(count=1) as other, started(rig) as one:
+            good = other.file()
+            for times, bad in enumerate([good[:len(good) // 2], b"", b"[]", b'{"name": 3}', b"\xff\xfe"], 1):
+                one.file.write_bytes(bad)
+                one.signal(signal.SIGHUP)
+                await one.heard("reload_refused", times)
+                assert await rig.say(rig.ask(id=f"old-{times}")) == b"for old-%d" % times
+            one.file.unlink()
+            one.signal(signal.SIGHUP)
+            assert "No such file" in (await one.heard("reload_refused", 6))["reason"]
+            one.file.write_bytes(good)
+            lists = other.discovery.opened
+            one.signal(signal.SIGHUP)
+            await one.heard("reloaded")
+            await rig.until(lambda: other.discovery.opened > lists)
+            one.signal(signal.SIGTERM)
+            assert await one.ended() == 0
+    run(work)
+
+
+@pytest.mark.parametrize("bad", [b"", b"{", b"[]", b'{"name": "n0"}'])
+def test_a_bad_file_at_the_start_is_one_line_and_exit_2(bad: bytes) -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig, started(rig, ready=False, only=bad) as one:
+            assert await one.ended() == 2 and len(one.raw) == 1
+            assert one.raw[0].startswith("otterquay: cannot start: ")
+    run(work)
+
+
+def test_a_client_that_asked_and_left_while_the_process_stood_still_is_not_served() -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig, started(rig) as one:
+            first = socket.create_connection(rig.address)
+            first.sendall(rig.ask(id="before"))
+            await rig.until(lambda: len(rig.appliances[0].got) == 1)
+            one.signal(signal.SIGSTOP)
+            first.sendall(rig.ask(id="gone"))
+            first.close()
+            stays, writer = await rig.connect()
+            writer.write(rig.ask(id="stays", d=6000))
+            one.signal(signal.SIGCONT)
+            assert await answer(stays) == b"for stays"
+            assert [words[2] for words in rig.appliances[0].got] == [b"before", b"stays"]
+            one.signal(signal.SIGTERM)
+            assert await one.ended() == 0
+    run(work)
+
+
+def test_a_rolling_restart_under_load_leaves_no_request_without_an_answer() -> None:
+    """Three processes, restarted one after another while clients ask and connections to appliances are cut."""
+    async def work() -> None:
+        async with Rig(count=3) as rig, started(rig) as a, started(rig) as b, started(rig) as c:
+            processes = [a, b, c]
+            places = [(await one.heard(READY))["listen"].split(":") for one in processes]
+            counts = {"asked": 0, "answered": 0, "refused": 0, "unanswered": 0}
+            served_by = [0] * 3
+            going = True
+
+            async def client(number: int) -> None:
+                asked = 0
+                while going:
+                    asked += 1
+                    data = rig.ask(cls="race-entry" if asked % 3 == 0 else "lobby-read")
+                    counts["asked"] += 1
+                    for place in [number % 3, (number + 1) % 3, (number + 2) % 3]:
+                        try:
+                            reader, writer = await asyncio.open_connection(*places[place])
+                        except OSError:
+                            continue  # down just now: clients go elsewhere
+                        writer.write(data)
+                        got = await answer(reader)
+                        writer.close()
+                        if got:
+                            break
+                    kind = "unanswered" if not got else "refused" if got.startswith(b"-BUSY") else "answered"
+                    counts[kind] += 1
+                    served_by[place] += got.startswith(b"for ")
+                    await asyncio.sleep(0.005)
+
+            async def cuts() -> None:
+                while going:
+                    await asyncio.sleep(0.05)
+                    for one in rig.appliances:
+                        for writer in one.writers[:1]:
+                            writer.transport.abort()
+
+            work = [asyncio.ensure_future(client(n)) for n in range(9)] + [asyncio.ensure_future(cuts())]
+            for place, one in enumerate(processes):
+                before = sum(served_by)
+                await rig.until(lambda: sum(served_by) > before + 30)  # noqa: B023 - over within the turn
+                one.signal(signal.SIGTERM)
+                assert await one.ended() == 0
+                one.file.write_bytes(rig.file(listen=":".join(places[place])))
+                one.said.clear()
+                await one.start()
+                await one.heard(READY)
+                served_by[place] = 0
+            await rig.until(lambda: min(served_by) > 10)
+            going = False
+            await asyncio.gather(*work)
+            assert counts["unanswered"] == 0 and min(served_by) > 0, counts
+            assert counts["asked"] == counts["answered"] + counts["refused"] and counts["answered"] > 100
+            for one in processes:
+                one.signal(signal.SIGTERM)
+            assert [await one.ended() for one in processes] == [0, 0, 0]
+    run(work)
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -189,11 +189,17 @@
 
     def config(self, **changes: Any) -> NodeConfig:
         """The agent's file, decoded."""
+        return read_config(self.file(**changes))
+
+    def file(self, only: bytes | None = None, **changes: Any) -> bytes:
+        """The agent's file, or these bytes in its place."""
+        if only is not None:
+            return only
         file = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address, "seed": "0a",
                 "limits": {"sockets": self.sockets}, "pipeline": {"address": self.desk.address, "news": {
                     "release": 1, "tranche": 0, "mode": "live", "exposure": 1.0, "old_ms": 5}},
                 "known": json.loads(self.discovery.listing(None)), "settings": {**SETTINGS, **self.changes}}
-        return read_config(json.dumps({**file, **changes}).encode())
+        return json.dumps({**file, **changes}).encode()
 
     async def __aenter__(self) -> Rig:
         for i, one in enumerate(self.appliances):
