The process ends by its runner again; a reload in the start needs no place of its own

SIGHUP while the agent starts was held back in __main__ too; the mutant without that survived, as Platform.move and PolledList.move already follow only what is followed, so it is gone.

--- a/otterquay/node/__main__.py
+++ b/otterquay/node/__main__.py
@@ -21,7 +21,6 @@
 
 import uvloop  # noqa: E402
 
-from otterquay.agent.lifecycle import Phase  # noqa: E402
 from otterquay.node.agent import Node  # noqa: E402
 from otterquay.node.config import ConfigError, NodeConfig, load_config  # noqa: E402
 from otterquay.node.lines import Lines  # noqa: E402
@@ -34,9 +33,6 @@
     node, ended = Node(config, random.Random(config.seed), time.time, log), asyncio.Event()
 
     def reload() -> None:
-        if node.phase is Phase.STARTING:  # `start` reads the addresses; what it had read is followed after it
-            _EARLY.append(signal.SIGHUP)
-            return
         try:
             node.move(load_config(path))
         except ConfigError as error:
@@ -57,14 +53,14 @@
 
 
 def main() -> int:
-    """The program. The loop stays open: closing it gives signals back to their defaults, by which one that comes as
-    late as that would end a process that has ended well."""
+    """The program."""
     path = os.environ.get("PROXY_CONFIG", "")
     try:
         if not path:
             raise ConfigError("PROXY_CONFIG names no file")
         config = load_config(path)
-        uvloop.new_event_loop().run_until_complete(serve(path, config))
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(serve(path, config))
     except (ConfigError, OSError) as error:
         print(f"otterquay: cannot start: {error}", file=sys.stderr)
         return 2
@@ -72,6 +68,4 @@
 
 
 if __name__ == "__main__":
-    _code = main()
-    sys.stderr.flush()
-    os._exit(_code)  # as the interpreter's own end does
+    sys.exit(main())
