--- /dev/null
+++ b/tests/crossings/test_drawn.py
@@ -0,0 +1,246 @@
+"""Drawn sequences of what may come, against one agent in service: what has to hold whatever the order.
+
+`OTTERQUAY_DRAWS=2000 python -m pytest tests/crossings/test_drawn.py` draws more; a failure names its seed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import socket
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from otterquay.agent.back import Call, Connection, Pool
+from otterquay.agent.lifecycle import Phase
+from otterquay.agent.ports import Ask, Asker
+from tests.crossings.audit import Audit
+from tests.crossings.forcing import run
+from tests.noderig import CLASSES, SETTINGS, Appliance, Rig, answer, served
+
+DRAWS, STEPS = int(os.environ.get("OTTERQUAY_DRAWS", "32")), 60
+SHORT = [{**one, "deadlineMs": 500.0, "onTimeMs": 200.0} for one in CLASSES]
+EFFECTS = {str(one["name"]).encode(): str(one["effect"]) for one in CLASSES}
+RESET = b"\1\0\0\0\0\0\0\0"  # SO_LINGER: a close is a reset
+
+
+@dataclass
+class Talker:
+    """A client on a connection of its own."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    asked: list[bytes] = field(default_factory=list)
+    rest: bytes = b""  # of a command that has begun
+    stayed: bool = True
+    spoke_noise: bool = False
+    finals: asyncio.Task[list[bytes]] | None = None
+
+    async def listen(self) -> list[bytes]:
+        """All final answers until the connection ends."""
+        got = []
+        while one := await answer(self.reader):
+            got.append(one)
+        return got
+
+
+class Drawn:
+    """One agent, its stand-ins and clients, and what a seed makes of them."""
+
+    def __init__(self, rig: Rig, other: Rig, seed: int) -> None:
+        self.rig, self.other, self.rng, self.audit = rig, other, random.Random(seed), Audit(EFFECTS)
+        self.talkers: list[Talker] = []
+        self.late: list[tuple[list[bytes], asyncio.StreamWriter]] = []
+        # a second answer is told from the next one by the rest between them alone: where some come, none is short
+        self.twice = seed % 2
+        rig.node.pool.rest_s = 60.0 * self.twice
+        for one in rig.appliances:
+            self.audit.watch(one, self.behave)
+
+    # --- appliances ---
+    def behave(self, one: Appliance, writer: asyncio.StreamWriter, words: list[bytes]) -> None:
+        value = served(b"for " + words[2])
+        match self.rng.choices(("good", "late", "busy", "error", "close", "twice", "part", "noise", "drop"),
+                               (8, 4, 3, 1, 1, self.twice, 1, 1, 1))[0]:
+            case "good":
+                self.audit.answered(words, writer, value)
+            case "late":
+                self.late.append((words, writer))
+            case "busy":
+                self.audit.answered(words, writer, b"-BUSY\r\n")
+            case "error":
+                self.audit.answered(words, writer, b"-ERR failed\r\n")
+            case "close":
+                writer.close()
+            case "twice":
+                self.audit.answered(words, writer, value)
+                asyncio.get_running_loop().call_soon(self._again, writer, value, self.rng.randrange(8))
+            case "part":
+                writer.write(value[:self.rng.randrange(1, len(value))])
+                writer.close()
+            case "noise":
+                self.audit.answered(words, writer, b"\xff\x00*9\r\n")
+            case "drop":
+                writer.transport.abort()
+
+    def _again(self, writer: asyncio.StreamWriter, value: bytes, turns: int) -> None:
+        if turns:
+            asyncio.get_running_loop().call_soon(self._again, writer, value, turns - 1)
+        elif not writer.is_closing():
+            writer.write(value)
+
+    def answer_late(self) -> None:
+        """Those that were kept get their answers, or half of them."""
+        late, self.late = self.late, []
+        for words, writer in late:
+            self.audit.answered(words, writer, served(b"for " + words[2]))
+
+    # --- clients ---
+    async def ask(self) -> None:
+        """One to three requests, whole, in one write, perhaps with a beginning of the next."""
+        one = await self._talker()
+        if one.rest:
+            return
+        data = b""
+        for _ in range(self.rng.randint(1, 3)):
+            data += self._request(one)
+        whole = self._request(one)
+        if self.rng.random() < 0.3:
+            cut = self.rng.randrange(1, len(whole))
+            data, one.rest = data + whole[:cut], whole[cut:]
+        else:
+            one.asked.pop()
+        one.writer.write(data)
+
+    def _request(self, one: Talker) -> bytes:
+        cls = self.rng.choice(("lobby-read", "queue-join", "race-entry"))
+        id = f"r{len(self.talkers)}-{self.rng.getrandbits(40):x}"
+        one.asked.append(id.encode())
+        return self.rig.ask(cls=cls, d=self.rng.choice((50, 300, 500)), id=id)
+
+    async def finish(self) -> None:
+        """The rest of a command that has begun."""
+        for one in self.talkers:
+            if one.rest and one.stayed:
+                one.writer.write(one.rest)
+                one.rest = ""  # type: ignore[assignment]
+
+    async def leave(self) -> None:
+        """One client closes or resets."""
+        if here := [one for one in self.talkers if one.stayed]:
+            one = self.rng.choice(here)
+            one.stayed = False
+            if self.rng.random() < 0.5 and not one.writer.is_closing():
+                one.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            one.writer.close()
+
+    async def spoil(self) -> None:
+        """A client writes what is no command: it gets an error or a close."""
+        one = await self._talker()
+        one.spoke_noise = True
+        one.writer.write(b"\x00noise\r\n")
+
+    async def _talker(self) -> Talker:
+        here = [one for one in self.talkers if one.stayed and not one.spoke_noise and not one.reader.at_eof()]
+        if here and self.rng.random() < 0.5:
+            return self.rng.choice(here)
+        one = Talker(*await self.rig.connect())
+        one.finals = asyncio.ensure_future(one.listen())
+        self.talkers.append(one)
+        return one
+
+    # --- feeds ---
+    async def feed(self) -> None:
+        """Something of discovery or the platform."""
+        rig, rng = self.rig, self.rng
+        name = f"s-{rng.randrange(rig.count)}"
+        match rng.randrange(8):
+            case 0:
+                rig.discovery.set(name, lifecycle="terminating")
+            case 1:
+                rig.discovery.set(name, lifecycle="in_service", startedAtMs=0)
+            case 2:
+                rig.discovery.set(name, lifecycle="in_service", version_no=rng.choice((1, 2)), startedAtMs=10**12)
+            case 3:
+                rig.discovery.spoil = [b'{"generation":']
+                rig.discovery.set(name)
+            case 4:
+                rig.desk.tell(b"2 0 %b %.2f 5" % (rng.choice((b"testing", b"recalling")), rng.choice((0.0, 0.25))))
+            case 5:
+                rig.desk.say(b"* noise\r\n")
+            case 6:
+                for writer in rig.discovery.writers + rig.desk.writers:
+                    writer.transport.abort()
+            case 7:
+                rig.node.move(rng.choice((rig, self.other)).config(name="n0"))
+
+    async def play(self) -> None:
+        """All steps, some turns of the loop apart; then the planned end."""
+        steps = {"ask": self.ask, "finish": self.finish, "leave": self.leave, "spoil": self.spoil,
+                 "feed": self.feed}
+        for _ in range(STEPS):
+            name = self.rng.choices(list(steps), (10, 3, 3, 1, 4))[0]
+            await steps[name]()
+            if self.rng.random() < 0.3:
+                self.answer_late()
+            for _ in range(self.rng.choice((0, 1, 2, 5, 40))):
+                await asyncio.sleep(0)
+        leaving = asyncio.ensure_future(self.rig.node.leave())
+        for _ in range(4):
+            await self.ask()
+            await asyncio.sleep(self.rng.uniform(0, 0.1))
+            await self.finish()
+        await leaving
+
+
+def watched(monkeypatch: pytest.MonkeyPatch, rig: Rig, broken: list[str]) -> set[bytes]:
+    """No request is written for a client that has gone, nor by an agent that has closed; returns the ids taken."""
+    write, take, taken = Pool._write, rig.node.take, set[bytes]()
+
+    def noted(ask: Ask, client: Asker) -> bool:
+        taken.add(ask.message[2])
+        return take(ask, client)
+
+    def judged(self: Pool, connection: Connection, call: Call) -> None:
+        node = rig.node
+        if self is node.pool and not call.tag.startswith(b"probe"):
+            number = int(call.tag.split(b"-")[0])
+            if number not in node.held or node.held[number].client is None:
+                broken.append(f"request {number} began after its client had left")
+            if node.phase is Phase.CLOSED:
+                broken.append(f"request {number} began in a closed agent")
+        write(self, connection, call)
+
+    monkeypatch.setattr(Pool, "_write", judged)
+    monkeypatch.setattr(rig.node, "take", noted)
+    return taken
+
+
+@pytest.mark.parametrize("seed", range(DRAWS))
+def test_whatever_comes_in_whatever_order(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def work() -> None:
+        rules = {**SETTINGS["rules"], "drainGraceMs": 300.0}
+        async with Rig(count=3, seed=seed, requestClasses=SHORT, rules=rules) as rig, Rig(count=3) as other:
+            other.discovery.entries, other.discovery.generation = rig.discovery.entries, 10**6
+            drawn = Drawn(rig, other, seed)
+            taken = watched(monkeypatch, rig, drawn.audit.broken)
+            await drawn.play()
+            for one in drawn.talkers:
+                if not one.stayed or one.spoke_noise or one.rest:
+                    one.writer.close()  # what it may still be owed is judged for those that stayed
+                assert one.finals
+                got = await one.finals
+                if not one.spoke_noise and not one.rest:
+                    drawn.audit.finals(one.asked, got, taken if one.stayed else set())
+            node: Any = rig.node
+            assert not drawn.audit.broken, f"seed {seed}: {drawn.audit.broken}"
+            assert not node.held and not node.front.ids and not node.front.clients, f"seed {seed}: held"
+            assert not node.pool.open and not node.pool.connecting, f"seed {seed}: connections left"
+            assert sum(drawn.audit.counts().values()) > 5, "something was sent"
+        left = [task for task in asyncio.all_tasks() if task is not asyncio.current_task() and "otterquay" in
+                str(task.get_coro())]
+        assert not left, f"seed {seed}: {left}"
+    run(work)
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -78,7 +78,7 @@
         self.writers.append(writer)
         try:
             await self.converse(reader, writer)
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (OSError, RuntimeError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -172,7 +172,8 @@
     def say(self, data: bytes) -> None:
         """Send to all that listen."""
         for writer in self.writers:
-            writer.write(data)
+            if not writer.is_closing():
+                writer.write(data)
 
 
 class Rig(Watch):
