Rename: Reconnect with its backoff, WriteStall; the field's words for Again and Unread

Again (keeping a conversation up) is Reconnect, its AGAIN_S is BACKOFF_S; Unread (bytes a client has not taken) is WriteStall, and no longer close to sockets.unread. Nothing else changes.

--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -16,7 +16,7 @@
 from otterquay.agent.ports import Ask, Final, Taker
 from otterquay.agent.sockets import peer_closed
 from otterquay.agent.standstill import BEAT_S, Standstill
-from otterquay.agent.unread import Unread
+from otterquay.agent.write_stall import WriteStall
 from otterquay.config.schema import Service
 from otterquay.logs import Logger
 from otterquay.protocol.http import HttpRequest, ProtocolError, RequestParser, write_response
@@ -98,7 +98,7 @@
     keep_alive: bool = True
     idle_since: float = 0.0
     head_since: float | None = None
-    unread: Unread = field(default_factory=Unread)
+    write_stall: WriteStall = field(default_factory=WriteStall)
     resuming: asyncio.Task[None] | None = None
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -129,7 +129,7 @@
         self.number = None
         if not self.writer.is_closing():  # it may have gone in this turn; not every loop takes such a write
             self.writer.write(data)
-        self.unread.written += len(data)
+        self.write_stall.written += len(data)
         if not self.keep_alive:
             self.waiting.clear()
             self.writer.close()
@@ -282,7 +282,7 @@
         now = loop.time()
         for client in list(self.clients):
             unsent = client.writer.transport.get_write_buffer_size()
-            if client.unread.stuck(unsent, now) >= bounds.write_timeout / 1e3:
+            if client.write_stall.stuck(unsent, now) >= bounds.write_timeout / 1e3:
                 self.log.info("client_ended", reason="does not read", unsent=unsent)
                 client.writer.transport.abort()
             elif client.number is not None or client.waiting:
--- a/otterquay/agent/again.py
+++ b/otterquay/agent/reconnect.py
@@ -14,7 +14,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Again:
+class Reconnect:
     """`converse` returns why it ended, `came` tells whether it brought anything, `broken` gets each break's reason
     and how many in a row brought nothing, and returns whether to stop. Times are seconds."""
 
--- a/otterquay/agent/streams.py
+++ b/otterquay/agent/streams.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 from urllib.parse import urlsplit
 
-from otterquay.agent.again import BREAKS, Again
+from otterquay.agent.reconnect import BREAKS, Reconnect
 from otterquay.logs import Logger
 from otterquay.protocol.http import ProtocolError, ResponseParser, write_request
 from otterquay.protocol.sse import SseError, SseEvent, SseParser
@@ -37,9 +37,10 @@
 
     async def run(self) -> None:
         """Follow until cancelled; waits longer after each failure in a row, at random below the bound."""
-        again = Again(self._once, lambda: self._came, self._broken, self.log.bind(url=self.url), "feed_fault",
-                      self.rng, self.least_s, self.most_s, (*BREAKS, SseError))
-        await again.run()
+        await Reconnect(
+            self._once, lambda: self._came, self._broken, self.log.bind(url=self.url), "feed_fault",
+            self.rng, self.least_s, self.most_s, (*BREAKS, SseError),
+        ).run()
 
     async def _once(self) -> str:
         try:
--- a/otterquay/agent/unread.py
+++ b/otterquay/agent/write_stall.py
@@ -6,7 +6,7 @@
 
 
 @dataclass(slots=True)
-class Unread:
+class WriteStall:
     """Bytes written to a connection, and since when none of what is still with us has left."""
 
     written: int = 0
--- a/otterquay/node/client.py
+++ b/otterquay/node/client.py
@@ -13,7 +13,7 @@
 
 from otterquay.agent.ports import Final
 from otterquay.agent.sockets import peer_closed, unread
-from otterquay.agent.unread import Unread
+from otterquay.agent.write_stall import WriteStall
 from otterquay.node.asks import QUERY, SUBMIT
 from otterquay.protocol import resp
 from otterquay.protocol.http import ProtocolError
@@ -78,11 +78,11 @@
     """One client connection. Times are seconds of the front's `awake` clock."""
 
     __slots__ = ("bytes_dropped", "ending_since", "feeding", "front", "half_since", "idle_since", "parser",
-                 "read_at", "slots", "state", "transport", "unread")
+                 "read_at", "slots", "state", "transport", "write_stall")
 
     def __init__(self, front: Front) -> None:
         self.front, self.parser, self.slots = front, resp.CommandParser(), deque[Slot]()
-        self.state, self.unread = State.OPEN, Unread()
+        self.state, self.write_stall = State.OPEN, WriteStall()
         self.feeding = False  # commands of one chunk are being taken: no close and no answer before the last
         self.half_since: float | None = None
         self.ending_since, self.bytes_dropped = 0.0, 0
@@ -189,7 +189,7 @@
         if ready and not self.transport.is_closing():
             data = b"".join(ready)
             self.transport.write(data)
-            self.unread.written += len(data)
+            self.write_stall.written += len(data)
             self.idle_since = self.front.awake()
         if not self.slots and (self.state is State.ENDING or (self.front.draining and not self.parser.started)):
             self.close()
@@ -222,7 +222,7 @@
     def swept(self, now: float) -> None:
         """A look at its patience: it may say nothing, never finish a command, or never read."""
         unsent = self.transport.get_write_buffer_size()
-        if self.unread.stuck(unsent, now) >= STUCK_S:
+        if self.write_stall.stuck(unsent, now) >= STUCK_S:
             self.front.log.info("client_ended", reason="does not read", unsent=unsent)
             self.transport.abort()
         elif self.state is State.CLOSED:
--- a/otterquay/node/discovery.py
+++ b/otterquay/node/discovery.py
@@ -8,8 +8,8 @@
 
 from otterquay import interface as it
 from otterquay.addresses import split_address
-from otterquay.agent.again import Again
 from otterquay.agent.feeds import FleetBook
+from otterquay.agent.reconnect import Reconnect
 from otterquay.agent.runtime import Runtime
 from otterquay.logs import Logger
 from otterquay.protocol import news
@@ -20,7 +20,7 @@
 WAIT_MS = 3000  # a watch; short, as only its end shows that a silent source is not merely quiet
 PATIENCE_S = 1.0  # for an answer beyond the wait that was asked for; doubled for a whole list that did not fit it
 PATIENCE_MOST_S = 8.0
-AGAIN_S = (0.02, 0.5)  # after a broken connection, at random; doubled from the least up
+BACKOFF_S = (0.02, 0.5)  # after a broken connection, at random; doubled from the least up
 LIST_MOST = 8 * 1024 * 1024  # bytes of one answer
 
 
@@ -67,9 +67,9 @@
         self.follow(following)
 
     async def _run(self) -> None:
-        again = Again(self._converse, lambda: self._came, self._broken, self._log, "discovery_fault", self._rng,
-                      *AGAIN_S)
-        await again.run()
+        await Reconnect(
+            self._converse, lambda: self._came, self._broken, self._log, "discovery_fault", self._rng, *BACKOFF_S,
+        ).run()
 
     def _broken(self, reason: str, failures: int) -> bool:
         self._log.warning("discovery_broken", address=self._address, reason=reason, failures=failures)
--- a/otterquay/node/platform.py
+++ b/otterquay/node/platform.py
@@ -9,15 +9,15 @@
 
 from otterquay import interface as it
 from otterquay.addresses import split_address
-from otterquay.agent.again import BREAKS, Again
 from otterquay.agent.feeds import counts_against_cap, standing
+from otterquay.agent.reconnect import BREAKS, Reconnect
 from otterquay.agent.runtime import Runtime
 from otterquay.logs import Logger
 from otterquay.protocol import platform as words
 
 SILENCE_S = 3.5  # a sign of life comes each second
 CONNECT_S = 1.0
-AGAIN_S = (0.02, 1.0)  # after a broken connection, at random; doubled from the least up
+BACKOFF_S = (0.02, 1.0)  # after a broken connection, at random; doubled from the least up
 Done = Callable[[it.StageNews], None]
 
 
@@ -92,9 +92,10 @@
             self._writer.transport.abort()  # a later answer would be taken for that to the next call
 
     async def _run(self) -> None:
-        again = Again(self._converse, lambda: self._came, self._broken, self._log, "platform_fault", self._rng,
-                      *AGAIN_S, (*BREAKS, RuntimeError))
-        await again.run()
+        await Reconnect(
+            self._converse, lambda: self._came, self._broken, self._log, "platform_fault", self._rng, *BACKOFF_S,
+            (*BREAKS, RuntimeError),
+        ).run()
 
     def _broken(self, reason: str, failures: int) -> bool:
         self._log.warning("platform_broken", address=self._address, reason=reason, failures=failures)
