--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from typing import Any
 
 import pytest
 
@@ -16,6 +17,17 @@
 from tests.noderig import CLASSES, Rig, answer, served
 
 
+async def draining(rig: Rig) -> tuple[Any, asyncio.StreamReader, asyncio.StreamWriter, asyncio.Future[None]]:
+    """An agent that drains with one request held: what its appliances keep, that client, and the end to come."""
+    held = holding(rig)
+    reader, writer = await rig.connect()
+    writer.write(rig.ask(id="one"))
+    await rig.until(lambda: held)
+    leaving = asyncio.ensure_future(rig.node.leave())
+    await rig.until(lambda: rig.node.phase is Phase.DRAINING)
+    return held, reader, writer, leaving
+
+
 def test_commands_of_one_chunk_all_have_their_answers_from_a_draining_agent() -> None:
     async def work() -> None:
         async with Rig() as rig:
@@ -31,12 +43,7 @@
 def test_a_request_that_crosses_the_close_of_a_drained_connection_is_answered_on_a_new_one() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
-            held = holding(rig)
-            reader, writer = await rig.connect()
-            writer.write(rig.ask(id="one"))
-            await rig.until(lambda: held)
-            leaving = asyncio.ensure_future(rig.node.leave())
-            await rig.until(lambda: rig.node.phase is Phase.DRAINING)
+            held, reader, writer, leaving = await draining(rig)
             rig.appliances[0].behave = lambda _, w, words: w.write(served(b"for " + words[2]))
             held[0][0].write(served(b"for one"))
             writer.write(again := rig.ask(id="two"))  # in the turn of the answer
@@ -51,12 +58,7 @@
 def test_a_connection_that_comes_while_the_agent_drains_is_served_and_then_closed() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
-            held = holding(rig)
-            first, writer = await rig.connect()
-            writer.write(rig.ask(id="one"))
-            await rig.until(lambda: held)
-            leaving = asyncio.ensure_future(rig.node.leave())
-            await rig.until(lambda: rig.node.phase is Phase.DRAINING)
+            held, first, _, leaving = await draining(rig)
             late, late_writer = await rig.connect()
             late_writer.write(rig.ask(id="late"))
             await rig.until(lambda: len(held) == 2)
@@ -225,12 +227,7 @@
 def test_a_second_end_and_a_late_reload_change_nothing() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
-            held = holding(rig)
-            reader, writer = await rig.connect()
-            writer.write(rig.ask(id="one"))
-            await rig.until(lambda: held)
-            leaving = asyncio.ensure_future(rig.node.leave())
-            await rig.until(lambda: rig.node.phase is Phase.DRAINING)
+            held, reader, writer, leaving = await draining(rig)
             await rig.node.stop(0.0)  # returns at once and shortens nothing
             assert rig.node.phase is Phase.DRAINING and rig.node.held
             held[0][0].write(served(b"for one"))
