Drain: idle connections close one a turn, five milliseconds apart

Cause by reading: a drain looked at all idle sockets in one turn and closed them in the next, so that what came between look and close was reset; with many connections that takes milliseconds. Change: the idlest connection that is not about to ask is closed, one a turn.

--- a/otterquay/node/client.py
+++ b/otterquay/node/client.py
@@ -25,7 +25,6 @@
 HALF_S, HALF_MOST_S = 1.5, 2.5  # a command that has begun: since its last bytes; in all, as bad ones get 3 s
 STUCK_S = 1.5  # answers that the client does not take
 ENDING_S = 1.0  # what stands before an error, then it is given up
-SETTLED_S = 0.1  # idle for less, a connection may be about to ask; none new for so long, none crosses a close
 IDLE_S = 2.0  # a connection without a request: some say nothing, some ask once and keep theirs for good
 WRITE_MOST = 262144  # bytes that a client has not taken, over which it is not read
 DISCARD_MOST = 1048576  # bytes read and dropped of one that has broken the protocol, so that its close is seen
@@ -238,7 +237,7 @@
                 now - self.read_at >= HALF_S or now - self.half_since >= HALF_MOST_S):
             if not unread(self.transport):
                 self.doom("half a command")
-        elif now - self.idle_since >= (SETTLED_S if self.front.draining else IDLE_S) and self.idle():
+        elif now - self.idle_since >= IDLE_S and self.idle():
             self.close()
 
     def _abandon(self, slot: Slot) -> None:
--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -15,10 +15,12 @@
 from otterquay.agent.standstill import BEAT_S, Standstill
 from otterquay.logs import Logger
 from otterquay.node.asks import AskReader
-from otterquay.node.client import SETTLED_S, Client
+from otterquay.node.client import Client
 from otterquay.protocol import resp
 
+SETTLED_S = 0.1  # idle for less, a connection may be about to ask; none new for so long, none crosses a close
 SWEEP_S = 0.1
+LET_GO_S = 0.005  # between the closes of a drain
 
 
 @dataclass(slots=True)
@@ -43,6 +45,7 @@
     _server: asyncio.Server | None = None
     _beater: asyncio.TimerHandle | None = None
     _sweeper: asyncio.TimerHandle | None = None
+    _letting_go: asyncio.TimerHandle | None = None
 
     def __post_init__(self) -> None:
         self.reader = AskReader.of(self.settings)
@@ -71,8 +74,17 @@
         """Idle connections close, once they are not about to ask; the others after their answers. The listener
         stays until `close`: a request that crosses the close of its connection comes once more on a new one."""
         self.draining, self._moved = True, self.now()
-        for client in list(self.clients):
-            client.swept(self.awake())
+        self._let_go()
+
+    def _let_go(self) -> None:
+        """Close the idlest connection that is not about to ask, one a turn: what comes between the look at a socket
+        and its close crosses the close, and with many at once that takes long."""
+        assert self._loop
+        settled = self.awake() - SETTLED_S
+        idle = [c for c in self.clients if not c.slots and c.idle_since <= settled]
+        if client := next((c for c in sorted(idle, key=lambda c: c.idle_since) if c.idle()), None):
+            client.close()
+        self._letting_go = self._loop.call_later(LET_GO_S, self._let_go)
 
     def drained(self) -> bool:
         """Whether all connections have gone, and no new one has come for a moment."""
@@ -83,7 +95,7 @@
         self.draining = True
         if self._server:
             self._server.close()
-        for timer in (self._beater, self._sweeper):
+        for timer in (self._beater, self._sweeper, self._letting_go):
             if timer:
                 timer.cancel()
         for client in list(self.clients):
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -12,7 +12,8 @@
 from otterquay.agent.lifecycle import DRAIN_LOOK_S, Phase
 from otterquay.agent.sockets import unread
 from otterquay.node.agent import FLUSH_S, LINGER_S, end_within_s
-from otterquay.node.client import SETTLED_S, State
+from otterquay.node.client import State
+from otterquay.node.front import SETTLED_S
 from tests.crossings.forcing import LOOPS, arrived, at, holding, run, warm
 from tests.noderig import CLASSES, Rig, answer, served
 
@@ -190,6 +191,22 @@
     run(work)
 
 
+def test_a_drain_closes_its_idle_connections_one_a_turn_as_each_close_may_be_crossed() -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            front = rig.node.front
+            asked = [await rig.connect() for _ in range(5)]
+            await rig.until(lambda: len(front.clients) == 5)
+            for client in front.clients:
+                client.idle_since -= SETTLED_S
+            front.drain()
+            assert [client.state for client in front.clients].count(State.CLOSED) == 1
+            for reader, _ in asked:
+                assert await answer(reader) == b""
+            await rig.until(lambda: not front.clients)
+    run(work)
+
+
 def test_a_connection_that_has_just_come_is_not_closed_by_a_drain_before_it_may_ask() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
