--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -81,8 +81,7 @@
         and its close crosses the close, and with many at once that takes long."""
         assert self._loop
         settled = self.awake() - SETTLED_S
-        idle = [c for c in self.clients if not c.slots and c.idle_since <= settled]
-        if client := next((c for c in sorted(idle, key=lambda c: c.idle_since) if c.idle()), None):
+        if client := self._idlest([c for c in self.clients if c.idle_since <= settled]):
             client.close()
         self._letting_go = self._loop.call_later(LET_GO_S, self._let_go)
 
@@ -117,9 +116,7 @@
         """One too many: end the idlest, or the new one when all are at work and no more may be."""
         must = len(self.clients) > self.most
         before = self.awake() - (0.0 if must else SETTLED_S)
-        idle = sorted([c for c in self.clients if c.idle_since < before and not c.slots and c is not newest],
-                      key=lambda c: c.idle_since)
-        client = next((c for c in idle if c.idle()), newest)
+        client = self._idlest([c for c in self.clients if c.idle_since < before and c is not newest]) or newest
         if client is newest and not must:
             return
         self.log.info("client_shed", open=len(self.clients), new=client is newest)
@@ -128,6 +125,12 @@
             client.transport.write(resp.error("ERR max number of clients reached"))
         client.close()
 
+    @staticmethod
+    def _idlest(some: list[Client]) -> Client | None:
+        """The one of these that has been idle longest; sockets are asked in that order, and only until then."""
+        waiting = sorted([c for c in some if not c.slots], key=lambda c: c.idle_since)
+        return next((c for c in waiting if c.idle()), None)
+
     def _beat(self) -> None:
         assert self._loop
         self.standstill.beaten(self.now())
