Test of silent watches: wait for the lists asked, not for the connections accepted

The test waited until the stand-in had accepted the fourth connection and then counted requests; a busy machine may accept a connection a while before its first request is read. Shown: with 50 ms between accept and first read the test fails every time. Change: it waits for the fourth whole list and asserts the connections, of which a list is never without one. Asks for as much as before. Result: passes with those 50 ms and without; the old form fails with them.

--- a/tests/crossings/test_feeds.py
+++ b/tests/crossings/test_feeds.py
@@ -102,9 +102,10 @@
 
     async def work() -> None:
         async with Rig(count=1) as rig:
-            opened = rig.discovery.opened
-            await rig.until(lambda: rig.discovery.opened > opened + 2)  # the stand-in says nothing when a wait ends
-            assert rig.discovery.asked.count("/api/targets") > 3
+            opened, lists = rig.discovery.opened, rig.discovery.asked.count("/api/targets")
+            # The stand-in says nothing when a wait ends. A connection counts before what it asks for has been read.
+            await rig.until(lambda: rig.discovery.asked.count("/api/targets") > lists + 2)
+            assert rig.discovery.opened > opened + 2
             rig.discovery.set("s-0", lifecycle="terminating")
             await rig.until(lambda: rig.seen(it.ServerList)[-1].entries[0].state is it.ServerState.DRAINING)
     run(work)
