Test of the rest of idle connections: lateness in powers of two, kept whole by rounding

Cause: 0.005 s taken from the loop's clock and back again may be 1e-14 s less, so that four times it is less than the 0.02 s wanted. Seen once in 144 tests played with slow stand-ins; the outcome hung on the machine's uptime.

--- a/tests/crossings/test_appliances.py
+++ b/tests/crossings/test_appliances.py
@@ -44,7 +44,8 @@
     async def work() -> None:
         calls, plain = Calls(), Plain()
         calls.pool.rest_s = 0.01
-        for late_s, rest_s in ((0.002, 0.01), (0.005, 0.02), (0.004, 0.02), (60.0, REST_MOST_S)):
+        # Powers of two: taken from a clock's reading and back again, they lose nothing to rounding.
+        for late_s, rest_s in ((2**-9, 0.01), (2**-8, 2**-6), (3 * 2**-10, 2**-6), (64.0, REST_MOST_S)):
             calls.ends.clear()
             conn = await calls.answered(plain)
             idle, = calls.pool.open
