Auditor: a raised cap on a slow link may count from when it was written

The tape shows the cap raised from 28% to 84% at 22.33 s, written into a link that was slow until 24.04 s. The auditor took all news of that time as told at 24.04 s, which is right for a lower cap (nobody has to act before) and wrong for a higher one: the agent had it some 26 ms after it was written and used it. 31 attempts of 82 to 103 requests break 28% and not 84%. The agent was not at fault; excluded were late arrivals (all 27 ms at most) and the auditor's slack. Change: news of a stage has two times, from which it may count and from which it has to; what is on its way counts among the caps in force. Lower caps bind as before, and a raise nobody has written, or that an agent standing still cannot have read, counts for nothing.

--- a/otterquay/lab/auditor.py
+++ b/otterquay/lab/auditor.py
@@ -33,6 +33,15 @@
         return any(self.violations.values())
 
 
+@dataclass(frozen=True, slots=True)
+class _StageTold:
+    """News of a stage: the agent may act by it from `since` and has to from `at`; over a slow link they differ."""
+
+    since: float
+    at: float
+    told: tp.ToldStage
+
+
 @dataclass(slots=True)
 class _Life:
     """One life of an agent, from its start to its end."""
@@ -41,7 +50,7 @@
     since: float
     until: float = float("inf")
     kind: str = "running"
-    stages: list[tp.ToldStage] = field(default_factory=list)
+    stages: list[_StageTold] = field(default_factory=list)
     servers: dict[int, list[tp.ToldServer]] = field(default_factory=lambda: defaultdict(list))
     asked: list[tp.Asked] = field(default_factory=list)
     arrived: list[tp.Arrived] = field(default_factory=list)
@@ -143,7 +152,7 @@
                     life.servers[c.server].append(replace(c, at=at))
             case tp.ToldStage():
                 if (life := self._life(c.agent, c.at)) and (at := self._told(c.agent, c.at)):
-                    life.stages.append(replace(c, at=at))
+                    life.stages.append(_StageTold(self._awake(c.agent, c.at), at, c))
 
     def judge(self) -> Report:
         """All five rules."""
@@ -298,14 +307,14 @@
             groups[build, cls_of[arrival.id] if self._roll.per_class else ""].append(arrival)
         for (build, cls), arrivals in groups.items():
             caps = [(life.since, self._cap(None, build))]
-            caps += [(told.at, self._cap(told, build)) for told in life.stages]
+            caps += [(news.at, self._cap(news.told, build)) for news in life.stages]
             times = [at for at, _ in caps]
+            open_from = [life.since, *(news.since for news in life.stages)]
             for i, arrival in enumerate(arrivals):
                 slack = self._slack + self._late(arrival.at, span)
-                now = bisect_right(times, arrival.at) - 1
-                # what was in force within grace and tolerance may still be acted on
+                # what was in force within grace and tolerance may still be acted on, what is on its way already
                 since = max(bisect_right(times, arrival.at - grace - slack) - 1, 0)
-                allowed = [cap for _, cap in caps[since : now + 1]]
+                allowed = [cap for _, cap in caps[since : bisect_right(open_from, arrival.at)]]
                 report.checked["exposure"] += allowed[-1] is not None
                 if not allowed or any(cap is None for cap in allowed):
                     continue
--- a/tests/test_auditor.py
+++ b/tests/test_auditor.py
@@ -161,6 +161,27 @@
     assert broken(script.judge()) == {"exposure"}
 
 
+@pytest.mark.parametrize(("raised", "others", "fits"), [
+    (4.9, (), True),
+    (5.2, (), False),  # nobody had written it yet
+    (4.9, (tp.Stood(5.5, 0, 4.8),), False),  # written, but the agent stood still
+    (4.5, (tp.ToldStage(4.8, 0, 2, 0, "trial", 0.28),), True),  # lower again: until that binds either may count
+])
+def test_a_raise_on_a_slow_link_counts_from_when_it_was_written(raised: float, others: Any, fits: bool) -> None:
+    script = Script().add(tp.ToldStage(2.0, 0, 2, 0, "trial", 0.28), tp.Severed(6.0, [0], 4.0, False, 0.3))
+    exposed(script.add(tp.ToldStage(raised, 0, 2, 0, "trial", 0.84), *others), 60, 100)
+    assert broken(script.judge()) == (set() if fits else {"exposure"})
+
+
+def test_a_lower_cap_on_a_slow_link_binds_once_the_link_is_whole() -> None:
+    script = Script().add(tp.ToldStage(1.0, 0, 2, 0, "trial", 0.84), tp.ToldStage(3.0, 0, 2, 0, "trial", 0.28),
+                          tp.Severed(4.0, [0], 2.5, False, 0.3))
+    exposed(script, 60, 100, at=5.9)  # told at 4.0 at the latest, and then within the grace
+    assert not script.judge().broken
+    exposed(script, 60, 100, at=8.5)
+    assert broken(script.judge()) == {"exposure"}
+
+
 def test_an_observer_that_stood_still_gives_the_doubt_to_the_agent() -> None:
     late = Script().ask("a", 1).answer("a", 2.3)
     assert broken(late.judge()) == {"answered"}
