Attempts whose connection comes up late are decided anew where the news has changed

In between a drain, an end, a new process at the address, a lower cap or the client's close changed nothing, and the time it told the appliance was the older. A connection that came up for a process that had been replaced was kept for the next request. Excluded: attempts on idle connections, which are written in the turn of the decision. At fault: Pool._connect and _write, Runtime._send, Pool.retire. Change: the pool asks begin() in the turn of the write; attempts.py (split from runtime.py) looks at the list, the cap and the client then, and makes the bytes with the time left. What may not begin ends as moot and the module decides anew. exchange.py holds call and connection with one state in place of two flags.

--- /dev/null
+++ b/otterquay/agent/attempts.py
@@ -0,0 +1,123 @@
+"""Attempts and probes: what the module sends goes out, and how it ended comes back as an event.
+
+Between a decision and the first byte a connection may have to come up, for as long as its timeout. What the
+decision stood on is looked at again then: the attempt begins as decided or not at all, and is decided anew.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from blake3 import blake3
+
+from otterquay import interface as it
+from otterquay.agent.exchange import Call
+from otterquay.agent.feeds import share_allowed
+from otterquay.agent.lifecycle import Held, Lifecycle, Phase
+from otterquay.agent.outcomes import TABLE, End
+from otterquay.protocol import news
+
+
+def key_of(key: bytes) -> int:
+    """An idempotency key as the module knows it, never 0."""
+    return int.from_bytes(blake3(key).digest(length=8)) or 1
+
+
+def _same(entry: news.Entry, now: news.Entry | None) -> bool:
+    """Whether an entry names the process that it named before, in the same state."""
+    return now is not None and (now.address, now.incarnation, now.build, now.state) == (
+        entry.address, entry.incarnation, entry.build, entry.state)
+
+
+class Attempts(Lifecycle):
+    """What the runtime does for one attempt or probe. `newest` is the stage that the module was told last."""
+
+    newest: it.StageNews | None = None
+
+    def _forget(self, held: Held) -> None:
+        raise NotImplementedError
+
+    def _allowed(self, build: int) -> float:
+        return share_allowed(build, self.newest, self.settings.rollout.stage_cap[0]) if self.newest else 1.0
+
+    def _send(self, request: int, server: int, until_ms: float) -> None:
+        held = self.held.get(request)
+        if held is None:
+            return self.post(it.Outcome(request, server, 0, it.Status.MOOT, 0.0, True, ()))
+        attempt, held.attempts = held.attempts, held.attempts + 1
+        entry, now = self.ports.list.entries.get(server), self._now()
+        until = min(until_ms / 1e3, held.deadline_s) if until_ms > 0 else held.deadline_s
+        client = held.client
+        if client and (self.phase is Phase.CLOSED or client.left()):  # its close lies unread, soon to be told
+            self.log.debug("client_left_unread", request=request)
+            client = None
+        over = client is None
+        if client is None or entry is None or until <= now or attempt >= self.settings.limits.max_attempts:
+            return self.post(it.Outcome(request, server, attempt, it.Status.MOOT, 0.0, over, ()))
+        address, build = entry.address, entry.build
+        tag, allowed = self.ports.speech.tag(request, attempt), self._allowed(build)
+
+        def begin() -> bytes | None:
+            """What is written, with the time that is left by then; None where what was decided holds no more."""
+            waited = attempt in held.calls  # for a connection; else this is still the turn of the decision
+            if waited and (client.left() or self._allowed(build) < allowed
+                           or not _same(entry, self.ports.list.entries.get(server))):
+                self.log.info("attempt_withheld", request=request, attempt=attempt, server=server)
+                return None
+            self.counts["attempts"] += 1
+            return self.ports.speech.attempt(held.ask, tag, address, (until - self._now()) * 1e3)
+
+        def done(call: Call, end: End, answer: Any | None) -> None:
+            if self.ports.fleet:
+                self.ports.fleet.ran(entry, held.ask.cls, TABLE[end].status, (self._now() - call.started) * 1e3,
+                                     self.ports.desk.capped(build))
+            self._done(held, server, build, attempt, call, end, answer)
+
+        if self.ports.fleet:
+            self.ports.fleet.sent(server)
+        if self.ports.keeper and self.ports.desk.capped(build):
+            self.ports.keeper.tried(build, held.ask.cls)
+        client.attempt(attempt + 1)
+        held.calls[attempt] = self.pool.call(address, tag, begin, until, done)
+        self.log.debug("attempt", request=request, attempt=attempt, server=server, tag=tag)
+
+    def _done(
+        self, held: Held, server: int, build: int, attempt: int, call: Call, end: End, answer: Any | None,
+    ) -> None:
+        held.calls.pop(attempt, None)
+        held.last = end
+        meaning = TABLE[end]
+        if meaning.status is not it.Status.OK:
+            self.log.info("attempt_ended", request=held.number, attempt=attempt, server=server,
+                          end=end.name.lower())
+        load = self.ports.speech.load(answer) if answer and self.settings.reports_in_answers else ()
+        latency = (self._now() - call.started) * 1e3
+        client = held.client
+        if meaning.status is it.Status.OK and client is not None and answer is not None:
+            # the module hears of it before the client's next request is taken
+            held.client = None
+            self.counts["served"] += 1
+            client.final(self.ports.speech.final(answer))
+            # the build that the attempt was sent to: another may have taken the server's name since
+            if self.ports.keeper and self.settings.rollout.one_way and held.ask.key:
+                self.ports.keeper.answered(key_of(held.ask.key), build, self.ports.desk.capped(build))
+        over = held.client is None
+        if over:
+            self._forget(held)
+        self.post(it.Outcome(held.number, server, attempt, meaning.status, latency, over, load))
+        if over and client is not None:
+            client.settled()
+
+    # --- probes ---
+    def _probe(self, server: int) -> None:
+        entry, started = self.ports.list.entries.get(server), self._now()
+
+        def done(_: Call, end: End, answer: Any | None) -> None:
+            load = self.ports.speech.load(answer) if answer else ()
+            self.post(it.ProbeResult(server, TABLE[end].status, (self._now() - started) * 1e3, load))
+
+        if entry is None:
+            return self.post(it.ProbeResult(server, it.Status.MOOT, 0.0, ()))
+        tag, payload = self.ports.speech.probe(server, entry.address)
+        until = started + self.settings.rollout.call_timeout_ms / 1e3
+        self.pool.call(entry.address, tag, lambda: payload, until, done)
--- a/otterquay/agent/back.py
+++ b/otterquay/agent/back.py
@@ -9,8 +9,9 @@
 from typing import Any
 
 from otterquay.addresses import split_address
+from otterquay.agent.exchange import Begin, Call, Connection, Use
 from otterquay.agent.outcomes import End
-from otterquay.agent.ports import Parser, Speech
+from otterquay.agent.ports import Speech
 from otterquay.agent.sockets import unread
 from otterquay.logs import Logger
 from otterquay.protocol.http import ProtocolError
@@ -19,38 +20,6 @@
 REST_TIMES, REST_MOST_S = 4, 0.05  # rest over how late a second answer was seen to come
 
 
-@dataclass(slots=True, eq=False)
-class Call:
-    """One exchange with an appliance; `done` is called exactly once, with how it ended and the answer, if any."""
-
-    address: str
-    tag: bytes
-    payload: bytes
-    done: Callable[[Call, End, Any | None], None]
-    started: float
-    connection: Connection | None = None
-    timer: asyncio.TimerHandle | None = None
-    task: asyncio.Task[None] | None = None
-    over: bool = False
-    written: float = 0.0  # when, and how long its connection had been idle by then; None for a new one
-    rested: float | None = None
-
-
-@dataclass(slots=True, eq=False)
-class Connection:
-    """A connection to an appliance, which carries one call at a time."""
-
-    address: str
-    reader: asyncio.StreamReader
-    writer: asyncio.StreamWriter
-    parser: Parser
-    idle_since: float
-    call: Call | None = None
-    task: asyncio.Task[None] | None = None
-    closed: bool = False
-    spent: bool = False  # its process was replaced: it carries its call to the end and no other
-
-
 @dataclass(slots=True)
 class Pool:
     """All connections of one agent. Times are seconds of the loop's clock."""
@@ -63,17 +32,18 @@
     rest_s: float = 0.0  # what lies idle for less is not used: what came after its answer may not be read yet
     idle: dict[str, list[Connection]] = field(default_factory=dict)
     open: set[Connection] = field(default_factory=set)
-    connecting: set[asyncio.Task[None]] = field(default_factory=set)
+    connecting: set[Call] = field(default_factory=set)
     opened: int = 0
     _sweeper: asyncio.TimerHandle | None = None
 
     def call(
-        self, address: str, tag: bytes, payload: bytes, until: float,
+        self, address: str, tag: bytes, begin: Begin, until: float,
         done: Callable[[Call, End, Any | None], None],
     ) -> Call:
-        """Start an exchange that is given up at `until`; `done` never runs before this returns."""
+        """Start an exchange that is given up at `until`; `done` never runs before this returns, and `begin` runs at
+        most once, in the turn of the write."""
         loop = asyncio.get_running_loop()
-        call = Call(address, tag, payload, done, loop.time())
+        call = Call(address, tag, begin, done, loop.time())
         call.timer = loop.call_at(until, self._overdue, call)
         rested = loop.time() - self.rest_s
         for connection in reversed(free := self.idle.get(address, [])):
@@ -93,8 +63,8 @@
             loop.call_soon(self._end, call, End.NO_CONNECTION)
             return call
         call.task = loop.create_task(self._connect(call))
-        self.connecting.add(call.task)
-        call.task.add_done_callback(self.connecting.discard)
+        self.connecting.add(call)
+        call.task.add_done_callback(lambda _: self.connecting.discard(call))
         return call
 
     def cancel(self, call: Call) -> None:
@@ -117,9 +87,10 @@
             return
         for address in ended:
             self.close_idle(address)
-        for connection in self.open:
-            if connection.address in ended:
-                connection.spent = True
+        held: list[Connection | Call] = [*self.open, *self.connecting]
+        for one in held:
+            if one.address in ended:
+                one.use = Use.LAST
 
     def close(self) -> None:
         """Close everything; calls that are out end as closed or not connected."""
@@ -129,8 +100,9 @@
             if connection.call:
                 self._end(connection.call, End.CLOSED)
             self._close(connection)
-        for task in list(self.connecting):
-            task.cancel()
+        for call in list(self.connecting):
+            if call.task:
+                call.task.cancel()
         self.idle.clear()
 
     def _make_room(self) -> bool:
@@ -160,7 +132,7 @@
         connection, call.connection = call.connection, None
         if connection:
             connection.call = None
-            if answer and answer.keep_alive and not connection.closed and not connection.spent:
+            if answer and answer.keep_alive and connection.use is Use.KEPT:
                 connection.idle_since = asyncio.get_running_loop().time()
                 self.idle.setdefault(call.address, []).append(connection)
                 self._sweep_later()
@@ -179,9 +151,7 @@
             call.task = None  # ends by itself
             self.log.info("connect_failed", address=call.address, error=str(error) or type(error).__name__)
             return self._end(call, End.NO_CONNECTION)
-        connection = Connection(
-            call.address, reader, writer, self.speech.parser(), 0.0
-        )
+        connection = Connection(call.address, reader, writer, self.speech.parser(), 0.0, use=call.use)
         self.open.add(connection)
         self.opened += 1
         connection.task = asyncio.get_running_loop().create_task(self._read(connection))
@@ -191,9 +161,14 @@
             self._write(connection, call)
 
     def _write(self, connection: Connection, call: Call) -> None:
+        loop = asyncio.get_running_loop()
+        if (payload := call.begin()) is None:
+            self._close(connection)  # whose it is by now is not known: it came up for what was true before
+            loop.call_soon(self._end, call, End.CALLED_OFF_CONNECTING)
+            return
         connection.call, call.connection = call, connection
-        call.written = asyncio.get_running_loop().time()
-        connection.writer.write(call.payload)
+        call.written = loop.time()
+        connection.writer.write(payload)
 
     async def _read(self, connection: Connection) -> None:
         reader, parser = connection.reader, connection.parser
@@ -246,7 +221,7 @@
     def _close(self, connection: Connection) -> None:
         if connection.closed:
             return
-        connection.closed = True
+        connection.use = Use.CLOSED
         self.open.discard(connection)
         free = self.idle.get(connection.address)
         if free and connection in free:
--- a/otterquay/agent/feeds.py
+++ b/otterquay/agent/feeds.py
@@ -33,6 +33,15 @@
     return build > newest or (build == newest and phase is not it.Phase.RELEASED)
 
 
+def share_allowed(build: int, newest: it.StageNews, first: float) -> float:
+    """The share of requests that may be tried at a build, `first` where no news has named it yet."""
+    if build > newest.build:
+        return first
+    if not counts_against_cap(build, newest.build, newest.phase):
+        return 1.0
+    return 0.0 if newest.phase is it.Phase.WITHDRAWN else newest.cap
+
+
 def standing(build: int, stage: int, phase: it.Phase, cap: float) -> str:
     """Where a build stands, in words."""
     return f"build {build}: stage {stage + 1}, {phase.name.lower().replace('_', ' ')}, cap {cap:.0%}"
--- a/otterquay/agent/lifecycle.py
+++ b/otterquay/agent/lifecycle.py
@@ -12,7 +12,8 @@
 from enum import Enum
 
 from otterquay import interface as it
-from otterquay.agent.back import Call, Pool
+from otterquay.agent.back import Pool
+from otterquay.agent.exchange import Call
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import Ask, Asker, Final, Ports
 from otterquay.logs import Logger
--- a/otterquay/agent/ports.py
+++ b/otterquay/agent/ports.py
@@ -91,8 +91,11 @@
 
     def parser(self) -> Parser: ...
 
-    def attempt(self, ask: Ask, request: int, attempt: int, address: str, left_ms: float) -> tuple[bytes, bytes]:
-        """Tag and payload of an attempt that is waited for `left_ms` more."""
+    def tag(self, request: int, attempt: int) -> bytes:
+        """By which an attempt is known."""
+
+    def attempt(self, ask: Ask, tag: bytes, address: str, left_ms: float) -> bytes:
+        """What is written for an attempt that is waited for `left_ms` more."""
 
     def probe(self, server: int, address: str) -> tuple[bytes, bytes]: ...
 
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -12,14 +12,13 @@
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from typing import Any, Protocol
-
-from blake3 import blake3
+from typing import Protocol
 
 from otterquay import interface as it
-from otterquay.agent.back import Call, Pool
-from otterquay.agent.lifecycle import Held, Lifecycle, Phase
-from otterquay.agent.outcomes import TABLE, End
+from otterquay.agent.attempts import Attempts, key_of
+from otterquay.agent.back import Pool
+from otterquay.agent.lifecycle import Held, Phase
+from otterquay.agent.outcomes import End
 from otterquay.agent.ports import Ask, Asker, Final
 from otterquay.logs import Logger
 from otterquay.policy.agent import Agent
@@ -34,12 +33,7 @@
     def handle(self, now: float, event: it.Event) -> list[it.Action]: ...
 
 
-def key_of(key: bytes) -> int:
-    """An idempotency key as the module knows it, never 0."""
-    return int.from_bytes(blake3(key).digest(length=8)) or 1
-
-
-class Runtime(Lifecycle):
+class Runtime(Attempts):
     """An agent between its ports and its decision module. `ports` may be set after the making, before the start."""
 
     def __init__(
@@ -67,6 +61,9 @@
     # --- events and actions ---
     def post(self, event: it.Event) -> None:
         """Queue an event; the queue is worked off in order, also when an action brings a further event."""
+        if isinstance(event, it.StageNews) and event.status is it.Status.OK and (
+                self.newest is None or event.build >= self.newest.build):
+            self.newest = event
         self._queue.append(event)
         if self._feeding:
             return
@@ -200,79 +197,6 @@
         self._forget(held)
         client.settled()
 
-    def _send(self, request: int, server: int, until_ms: float) -> None:
-        held = self.held.get(request)
-        if held is None:
-            return self.post(it.Outcome(request, server, 0, it.Status.MOOT, 0.0, True, ()))
-        attempt, held.attempts = held.attempts, held.attempts + 1
-        entry, now = self.ports.list.entries.get(server), self._now()
-        until = min(until_ms / 1e3, held.deadline_s) if until_ms > 0 else held.deadline_s
-        client = held.client
-        if client and (self.phase is Phase.CLOSED or client.left()):  # its close lies unread, soon to be told
-            self.log.debug("client_left_unread", request=request)
-            client = None
-        over = client is None
-        if client is None or entry is None or until <= now or attempt >= self.settings.limits.max_attempts:
-            return self.post(it.Outcome(request, server, attempt, it.Status.MOOT, 0.0, over, ()))
-        self.counts["attempts"] += 1
-        address, build = entry.address, entry.build
-        tag, payload = self.ports.speech.attempt(held.ask, request, attempt, address, (until - now) * 1e3)
-
-        def done(call: Call, end: End, answer: Any | None) -> None:
-            if self.ports.fleet:
-                self.ports.fleet.ran(entry, held.ask.cls, TABLE[end].status, (self._now() - call.started) * 1e3,
-                                     self.ports.desk.capped(build))
-            self._done(held, server, build, attempt, call, end, answer)
-
-        if self.ports.fleet:
-            self.ports.fleet.sent(server)
-        if self.ports.keeper and self.ports.desk.capped(build):
-            self.ports.keeper.tried(build, held.ask.cls)
-        client.attempt(attempt + 1)
-        held.calls[attempt] = self.pool.call(address, tag, payload, until, done)
-        self.log.debug("attempt", request=request, attempt=attempt, server=server, tag=tag)
-
-    def _done(
-        self, held: Held, server: int, build: int, attempt: int, call: Call, end: End, answer: Any | None,
-    ) -> None:
-        held.calls.pop(attempt, None)
-        held.last = end
-        meaning = TABLE[end]
-        if meaning.status is not it.Status.OK:
-            self.log.info("attempt_ended", request=held.number, attempt=attempt, server=server,
-                          end=end.name.lower())
-        load = self.ports.speech.load(answer) if answer and self.settings.reports_in_answers else ()
-        latency = (self._now() - call.started) * 1e3
-        client = held.client
-        if meaning.status is it.Status.OK and client is not None and answer is not None:
-            # the module hears of it before the client's next request is taken
-            held.client = None
-            self.counts["served"] += 1
-            client.final(self.ports.speech.final(answer))
-            # the build that the attempt was sent to: another may have taken the server's name since
-            if self.ports.keeper and self.settings.rollout.one_way and held.ask.key:
-                self.ports.keeper.answered(key_of(held.ask.key), build, self.ports.desk.capped(build))
-        over = held.client is None
-        if over:
-            self._forget(held)
-        self.post(it.Outcome(held.number, server, attempt, meaning.status, latency, over, load))
-        if over and client is not None:
-            client.settled()
-
-    # --- probes ---
-    def _probe(self, server: int) -> None:
-        entry, started = self.ports.list.entries.get(server), self._now()
-
-        def done(_: Call, end: End, answer: Any | None) -> None:
-            load = self.ports.speech.load(answer) if answer else ()
-            self.post(it.ProbeResult(server, TABLE[end].status, (self._now() - started) * 1e3, load))
-
-        if entry is None:
-            return self.post(it.ProbeResult(server, it.Status.MOOT, 0.0, ()))
-        tag, payload = self.ports.speech.probe(server, entry.address)
-        until = started + self.settings.rollout.call_timeout_ms / 1e3
-        self.pool.call(entry.address, tag, payload, until, done)
-
     # --- feeds ---
     def listed(self, told: it.ServerList, ended: Iterable[str] = ()) -> None:
         """News of the list, and the addresses whose process has ended or was replaced."""
--- a/otterquay/agent/web.py
+++ b/otterquay/agent/web.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from otterquay import interface as it
-from otterquay.agent.back import Call, Pool
+from otterquay.agent.back import Pool
+from otterquay.agent.exchange import Call
 from otterquay.agent.feeds import DeskBook, FleetBook, Gap
 from otterquay.agent.front import ANSWER, BUDGET, Front
 from otterquay.agent.keeper import Keeper
@@ -52,12 +53,16 @@
         """For one connection."""
         return ResponseParser(*self._bounds)
 
-    def attempt(self, ask: Ask, request: int, attempt: int, address: str, left_ms: float) -> tuple[bytes, bytes]:
+    def tag(self, request: int, attempt: int) -> bytes:
+        """By which an attempt is known; the appliance sends it back."""
+        return b"%d-%d" % (request, attempt)
+
+    def attempt(self, ask: Ask, tag: bytes, address: str, left_ms: float) -> bytes:
         """The client's message with our header fields."""
-        http, tag = ask.message, b"%d-%d" % (request, attempt)
+        http = ask.message
         headers = [(b"host", address.encode()), (ECHO, tag), (AGENT, b"%d" % self._agent)]
         headers += [item for item in http.headers.items() if item[0] not in SKIPPED]
-        return tag, write_request(http.method, http.target, headers, http.body)
+        return write_request(http.method, http.target, headers, http.body)
 
     def probe(self, server: int, address: str) -> tuple[bytes, bytes]:
         """An ordinary GET that an appliance answers beside its queue, with its load report."""
@@ -165,7 +170,7 @@
             status, decoded = self._read(end, answer)
             done(self.book.voted(status, decoded, loop.time() * 1e3))
 
-        self._runtime.pool.call(address, b"vote", payload, until, ended)
+        self._runtime.pool.call(address, b"vote", lambda: payload, until, ended)
 
     def _read(self, end: End, answer: HttpResponse | None) -> tuple[it.Status, news.VoteAnswer | None]:
         if end in (End.NO_CONNECTION, End.OVERDUE_CONNECTING):
--- a/otterquay/node/speech.py
+++ b/otterquay/node/speech.py
@@ -22,12 +22,16 @@
         """For one connection."""
         return resp.AnswerParser()
 
-    def attempt(self, ask: Ask, request: int, attempt: int, address: str, left_ms: float) -> tuple[bytes, bytes]:
+    def tag(self, request: int, attempt: int) -> bytes:
+        """By which an attempt is known here; appliances are not told it."""
+        return b"%d-%d" % (request, attempt)
+
+    def attempt(self, ask: Ask, tag: bytes, address: str, left_ms: float) -> bytes:
         """The client's own command; only `d` tells how long we will wait."""
         words: list[bytes] = ask.message
         left = b"d=%d" % max(1, math.ceil(left_ms))
         options = b",".join([left if item.startswith(b"d=") else item for item in words[3].split(b",")])
-        return b"%d-%d" % (request, attempt), resp.command([*words[:3], options, *words[4:]])
+        return resp.command([*words[:3], options, *words[4:]])
 
     def probe(self, server: int, address: str) -> tuple[bytes, bytes]:
         """Asks for the load report."""
--- a/tests/crossings/forcing.py
+++ b/tests/crossings/forcing.py
@@ -11,7 +11,8 @@
 
 import uvloop
 
-from otterquay.agent.back import Call, Pool
+from otterquay.agent.back import Pool
+from otterquay.agent.exchange import Call
 from otterquay.agent.outcomes import End
 from otterquay.logs import silent
 from otterquay.node.front import Front
@@ -74,6 +75,28 @@
         Front.now = true  # type: ignore[method-assign]
 
 
+class Gate:
+    """While it is entered, connections to a rig's appliances come up only once `open` is set; `waiting` has the
+    addresses that such connections are wanted to, in order."""
+
+    def __init__(self, rig: Rig) -> None:
+        self.open, self.waiting = asyncio.Event(), list[str]()
+        self._kept, self._true = {one.address for one in rig.appliances}, asyncio.open_connection
+
+    def __enter__(self) -> Gate:
+        asyncio.open_connection = self._connect
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        asyncio.open_connection = self._true
+
+    async def _connect(self, host: str, port: int, **more: Any) -> Any:
+        if f"{host}:{port}" in self._kept:
+            self.waiting.append(f"{host}:{port}")
+            await self.open.wait()
+        return await self._true(host, port, **more)
+
+
 class Plain:
     """An appliance of blocking sockets, for what has to happen without a turn of the agent's loop."""
 
@@ -101,7 +124,7 @@
 
     def call(self, address: str, payload: bytes = b"*1\r\n$1\r\nx\r\n") -> Call:
         until = asyncio.get_running_loop().time() + 60
-        return self.pool.call(address, b"1-0", payload, until, lambda call, end, got: self.ends.append(end))
+        return self.pool.call(address, b"1-0", lambda: payload, until, lambda call, end, got: self.ends.append(end))
 
     async def answered(self, plain: Plain) -> socket.socket:
         """A call that has had its answer; returns the connection, now idle."""
--- /dev/null
+++ b/tests/crossings/test_attempts.py
@@ -0,0 +1,133 @@
+"""Attempts whose connection comes up late: what was decided is looked at again before the first byte."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+
+from otterquay import interface as it
+from otterquay.agent.sockets import peer_closed
+from tests.crossings.forcing import Calls, Gate, Plain, arrived, run, until
+from tests.noderig import SETTINGS, Rig, answer, served
+
+LATE = {**SETTINGS["limits"], "connectTimeoutMs": 30000.0}
+Change = Callable[[Rig, str], Any]
+
+
+async def attempt_connecting(rig: Rig, gate: Gate) -> tuple[asyncio.StreamReader, str, str]:
+    """A request is taken and its attempt connects: the client's side, the name of that server and of the other."""
+    reader, writer = await rig.connect()
+    writer.write(rig.ask(id="one", d=6000))
+    await rig.until(lambda: gate.waiting)
+    at = next(i for i, one in enumerate(rig.appliances) if one.address == gate.waiting[0])
+    return reader, f"s-{at}", f"s-{1 - at}"
+
+
+CHANGES: dict[str, Change] = {
+    "drains": lambda rig, name: rig.discovery.set(name, lifecycle="terminating"),
+    "is gone": lambda rig, name: rig.discovery.set(name, lifecycle="terminated"),
+    "has restarted": lambda rig, name: rig.discovery.set(name, startedAtMs=5e11),
+    "runs another build": lambda rig, name: rig.discovery.set(name, version_no=2),
+    "is elsewhere": lambda rig, name: rig.discovery.set(
+        name, hostPort=next(one.address for one in rig.appliances if one is not rig.appliances[int(name[2:])])),
+}
+
+
+@pytest.mark.parametrize("what", CHANGES)
+def test_an_attempt_whose_server_changes_while_it_connects_is_decided_anew(what: str) -> None:
+    async def work() -> None:
+        async with Rig(count=2, limits=LATE) as rig:
+            with Gate(rig) as gate:
+                reader, name, _ = await attempt_connecting(rig, gate)
+                lists = len(rig.seen(it.ServerList))
+                CHANGES[what](rig, name)
+                await rig.until(lambda: len(rig.seen(it.ServerList)) > lists)
+                gate.open.set()
+                assert await answer(reader) == b"for one"
+            first, second = rig.seen(it.Outcome)
+            assert (first.status, first.over, second.status) == (it.Status.MOOT, False, it.Status.OK)
+            assert len(rig.appliances[0].got) + len(rig.appliances[1].got) == 1
+            if what in ("drains", "is gone", "is elsewhere"):
+                assert not rig.appliances[int(name[2:])].got, "not where it was decided for"
+            assert len(rig.node.pool.open) == 1, "what came up for the first has closed"
+    run(work)
+
+
+@pytest.mark.parametrize(("state", "begins", "decided"), [
+    (b"2 0 recalling 0 5", 0, 1), (b"2 0 recalled 1 5", 0, 1),  # nothing may be tried any more
+    (b"2 0 testing 0.25 5", 1, 2),  # one may, by the free ones: that is for the module to say
+    (b"2 0 testing 1 5", 1, 1), (b"2 0 live 1 5", 1, 1), (b"2 1 testing 1 5", 1, 1),  # no less than before
+])
+def test_an_attempt_whose_cap_falls_while_it_connects_is_decided_anew(
+    state: bytes, begins: int, decided: int,
+) -> None:
+    async def work() -> None:
+        async with Rig(count=1, limits=LATE) as rig:
+            rig.desk.tell(b"2 0 testing 1 5")
+            rig.discovery.set("s-0", version_no=2, startedAtMs=1.0)  # long ago: it is warm
+            await rig.until(lambda: rig.seen(it.StageNews)[-1].build == 2 and len(rig.seen(it.ServerList)) > 2)
+            with Gate(rig) as gate:
+                reader, _, _ = await attempt_connecting(rig, gate)
+                heard = len(rig.seen(it.StageNews))
+                rig.desk.tell(state)
+                await rig.until(lambda: len(rig.seen(it.StageNews)) > heard)
+                gate.open.set()
+                said = await answer(reader)
+            assert len(rig.appliances[0].got) == begins and (said == b"for one") is bool(begins)
+            assert len(rig.seen(it.Outcome)) == decided and not rig.node.held
+    run(work)
+
+
+def test_an_attempt_whose_clients_close_lies_unread_when_it_could_begin_does_not() -> None:
+    async def work() -> None:
+        async with Rig(count=1, limits=LATE) as rig:
+            with Gate(rig) as gate:
+                plain = socket.create_connection(rig.address)
+                plain.sendall(rig.ask(id="left", d=6000))
+                await rig.until(lambda: gate.waiting)
+                client, = rig.node.front.clients
+                call, = rig.node.pool.connecting
+                plain.close()
+                arrived(lambda: peer_closed(client.transport))
+                assert call.begin() is None, "asked in the turn before the close is read"
+                gate.open.set()
+                await rig.until(lambda: not rig.node.held and not rig.node.pool.connecting)
+            assert not rig.appliances[0].got and len(rig.seen(it.Abandoned)) == 1
+    run(work)
+
+
+def test_an_attempt_tells_the_time_that_is_left_when_it_begins() -> None:
+    async def work() -> None:
+        async with Rig(count=1, limits=LATE) as rig:
+            with Gate(rig) as gate:
+                reader, _, _ = await attempt_connecting(rig, gate)
+                held, = rig.node.held.values()
+                loop = asyncio.get_running_loop()
+                until_s, waited = held.deadline_s, loop.time() + 0.2
+                await rig.until(lambda: loop.time() > waited)
+                gate.open.set()
+                assert await answer(reader) == b"for one"
+            words, = rig.appliances[0].got
+            told, = (int(item[2:]) for item in words[3].split(b",") if item.startswith(b"d="))
+            assert 0 < told <= (until_s - waited) * 1e3 + 1
+    run(work)
+
+
+def test_a_connection_that_came_up_for_a_process_that_has_ended_carries_its_call_and_no_other() -> None:
+    async def work() -> None:
+        calls, plain = Calls(), Plain()
+        calls.call(plain.address)  # as a probe: it may begin whatever became of the process
+        calls.pool.retire([plain.address])
+        conn = await plain.accept()
+        await asyncio.get_running_loop().sock_recv(conn, 100)
+        conn.sendall(served(b"first"))
+        await until(lambda: calls.ends)
+        await until(lambda: not calls.pool.open)
+        assert not calls.pool.idle.get(plain.address)
+        for one in (plain, conn):
+            one.close()
+    run(work)
--- a/tests/crossings/test_drawn.py
+++ b/tests/crossings/test_drawn.py
@@ -14,7 +14,8 @@
 
 import pytest
 
-from otterquay.agent.back import Call, Connection, Pool
+from otterquay.agent.back import Pool
+from otterquay.agent.exchange import Call, Connection
 from otterquay.agent.lifecycle import Phase
 from otterquay.agent.ports import Ask, Asker
 from tests.crossings.audit import Audit
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -235,7 +235,7 @@
             held: list[asyncio.StreamWriter] = []
             at = "{}:{}".format(*deaf.sockets[0].getsockname())
             until = asyncio.get_running_loop().time() + 0.5
-            rig.node.pool.call(at, b"t", b"x" * 50_000_000, until, lambda call, end, _: ended.append(end))
+            rig.node.pool.call(at, b"t", lambda: b"x" * 50_000_000, until, lambda call, end, _: ended.append(end))
             await rig.until(lambda: held)
             held[0].transport.pause_reading()  # type: ignore[attr-defined]
             await rig.until(lambda: ended)
--- a/tests/test_replaced.py
+++ b/tests/test_replaced.py
@@ -203,9 +203,9 @@
         listener = Listener(right)
         await listener.start()
         pool, ended = Pool(1.0, 10.0, HttpSpeech(0, ()), silent()), list[HttpResponse | None]()
+        payload = write_request(b"GET", b"/", [(b"host", b"x")])
         for _ in range(3):
-            payload = write_request(b"GET", b"/", [(b"host", b"x")])
-            pool.call(listener.address, b"t", payload, asyncio.get_running_loop().time() + 5,
+            pool.call(listener.address, b"t", lambda: payload, asyncio.get_running_loop().time() + 5,
                       lambda call, end, answer: ended.append(answer))
             while not ended or ended[-1] is None:
                 await asyncio.sleep(0.005)
