Auditor: news about when a cut begins may have come, as a slow link's may come early

Cause: written within the tolerance before a cut, news was booked as never told, though the agent may have read it and act by it: a raised cap, a server that is ready again, another build under a server's name. Found while the auditor was prepared for RESP, where connections break right behind what was written. Change: news has two times for servers too; 'never' where a cut leaves it open; what is written well within a cut is dropped as before. An attempt at a server whose build is in doubt counts for no build.

--- a/tests/test_auditor.py
+++ b/tests/test_auditor.py
@@ -182,6 +182,33 @@
     assert broken(script.judge()) == {"exposure"}
 
 
+@pytest.mark.parametrize(("written", "known"), [(3.995, True), (4.005, True), (4.02, False)])
+def test_news_about_when_a_cut_begins_may_have_come_or_not(written: float, known: bool) -> None:
+    """By news written before a cut the agent may act and need not; by what was written within it nobody can."""
+    def trial(cap: float, then: float) -> Script:
+        return cut().add(tp.ToldStage(2.0, 0, 2, 0, "trial", cap), tp.ToldStage(written, 0, 2, 0, "trial", then))
+
+    def cut() -> Script:
+        return Script().add(tp.Severed(9.0, [0], 4.0, True, 0.0))
+
+    assert broken(exposed(trial(0.28, 0.84), 60, 100).judge()) == (set() if known else {"exposure"})
+    script = trial(0.84, 0.0)
+    assert not exposed(script, 60, 100, at=8.0).judge().broken, "it need not know"
+    script = cut().add(tp.ToldServer(1.0, 0, 1, "draining", 1, 1), tp.ToldServer(written, 0, 1, "ready", 1, 1))
+    script.ask("a", 4.5).send("a", 4.6).answer("a", 4.7)
+    assert broken(script.judge()) == (set() if known else {"drains"})
+    script = cut().add(tp.ToldServer(written, 0, 1, "draining", 1, 1))
+    assert not script.ask("a", 8.0).send("a", 8.1).answer("a", 8.2).judge().broken, "it need not know"
+
+
+def test_attempts_at_a_server_whose_build_is_in_doubt_count_for_none() -> None:
+    script = Script().add(tp.ToldStage(2.0, 0, 2, 0, "trial", 0.28))
+    exposed(script, 60, 100, at=5.0)
+    assert broken(script.judge()) == {"exposure"}
+    script.add(tp.ToldServer(4.5, 0, 9, "ready", 1, 8), tp.Severed(9.0, [0], 4.495, False, 0.3))
+    assert not script.judge().broken, "it went back to build 1, which the agent may know"
+
+
 def test_an_observer_that_stood_still_gives_the_doubt_to_the_agent() -> None:
     late = Script().ask("a", 1).answer("a", 2.3)
     assert broken(late.judge()) == {"answered"}
