--- /dev/null
+++ b/tests/crossings/test_cold.py
@@ -0,0 +1,72 @@
+"""A server that starts cold on RESP: judged by what it got, whatever the agent believes that it can bear."""
+
+from __future__ import annotations
+
+import asyncio
+from bisect import bisect_right
+
+import pytest
+
+from otterquay import interface as it
+from otterquay.policy.agent import Agent
+from tests.crossings.forcing import run
+from tests.crossings.wiretape import WireTape, broken
+from tests.noderig import SETTINGS, Appliance, Rig, answer, right
+
+COLD = {"coldMs": 3000.0, "startCapacity": 0.4, "fallMultiple": 3.0, "fallMs": 500.0}
+WORK_S = 0.01
+
+
+async def day(rig: Rig) -> WireTape:
+    """Three servers in steady use; one of them starts anew and the others turn all away: most would go to it."""
+    tape, loop, served = WireTape(rig, WORK_S), asyncio.get_running_loop(), list[float]()
+
+    def got(one: Appliance, writer: asyncio.StreamWriter, words: list[bytes]) -> None:
+        tape.came(one, words)
+        right(one, writer, words)
+
+    def full(one: Appliance, writer: asyncio.StreamWriter, words: list[bytes]) -> None:
+        tape.came(one, words)
+        writer.write(b"-BUSY\r\n")
+
+    for one in rig.appliances:
+        one.behave = got
+    reader, writer = await rig.connect()
+
+    async def use(least: int, least_s: float) -> None:
+        """So many requests, one after another, and for so long."""
+        begun, count = loop.time(), 0
+        while count < least or loop.time() < begun + least_s:
+            count += 1
+            tape.asked(id := f"r{tape.now()}-{count}", "lobby-read")
+            writer.write(rig.ask(id=id))
+            assert await answer(reader)
+            served.append(loop.time())
+            await asyncio.sleep(0)
+
+    await use(200, 3 * COLD["fallMs"] / 1e3)
+    span_s = COLD["fallMs"] / 1e3  # all bear what they bore in any such time, whatever the machine's pace
+    most = max(bisect_right(served, at + span_s) - i for i, at in enumerate(served))
+    rig.discovery.set("s-0", startedAtMs=rig.wall() * 1e3)
+    tape.started(rig.appliances[0], most / span_s * WORK_S / len(rig.appliances))
+    lists = len(rig.seen(it.ServerList))
+    await rig.until(lambda: len(rig.seen(it.ServerList)) > lists)
+    for one in rig.appliances[1:]:
+        one.behave = full
+    await use(200, 2.5 * COLD["fallMs"] / 1e3)
+    return tape
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_cold_server_gets_no_more_than_it_bears(guarded: bool, monkeypatch: pytest.MonkeyPatch) -> None:
+    if not guarded:
+        monkeypatch.setattr(Agent, "_cold", lambda *_: False)
+
+    async def work() -> None:
+        async with Rig(count=3, rules={**SETTINGS["rules"], **COLD}) as rig:
+            report = (await day(rig)).judge(
+                cold=f"{COLD['coldMs']}ms", start_capacity=f"{COLD['startCapacity']:.0%}",
+                fall_multiple=COLD["fallMultiple"], fall=f"{COLD['fallMs']}ms")
+            assert report.checked["cold"] == 1 and list(broken(report)) == ([] if guarded else ["cold"])
+            assert len(rig.appliances[0].got) > 10, "it was used all the same"
+    run(work)
--- a/tests/crossings/test_drawn.py
+++ b/tests/crossings/test_drawn.py
@@ -9,17 +9,22 @@
 import os
 import random
 import socket
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
 
+from otterquay import interface as it
 from otterquay.agent.back import Pool
 from otterquay.agent.exchange import Call, Connection
 from otterquay.agent.lifecycle import Phase
 from otterquay.agent.ports import Ask, Asker
+from otterquay.policy.agent import Agent
 from tests.crossings.audit import Audit
 from tests.crossings.forcing import run
+from tests.crossings.wiretape import WireTape, broken
 from tests.noderig import CLASSES, SETTINGS, Appliance, Rig, answer, served
 
 DRAWS, STEPS = int(os.environ.get("OTTERQUAY_DRAWS", "32")), 60
@@ -51,8 +56,11 @@
 class Drawn:
     """One agent, its stand-ins and clients, and what a seed makes of them."""
 
-    def __init__(self, rig: Rig, other: Rig, seed: int) -> None:
+    def __init__(self, rig: Rig, other: Rig, seed: int, feeds: Sequence[int]) -> None:
         self.rig, self.other, self.rng, self.audit = rig, other, random.Random(seed), Audit(EFFECTS)
+        self.tape = WireTape(rig)
+        self.tape.hook(other)
+        self.feeds = feeds  # what may come of discovery and platform
         self.talkers: list[Talker] = []
         self.late: list[tuple[list[bytes], asyncio.StreamWriter]] = []
         # a second answer is told from the next one by the rest between them alone: where some come, none is short
@@ -63,6 +71,7 @@
 
     # --- appliances ---
     def behave(self, one: Appliance, writer: asyncio.StreamWriter, words: list[bytes]) -> None:
+        self.tape.came(one, words)
         value = served(b"for " + words[2])
         match self.rng.choices(("good", "late", "busy", "error", "close", "twice", "part", "noise", "drop"),
                                (8, 4, 3, 1, 1, self.twice, 1, 1, 1))[0]:
@@ -120,6 +129,7 @@
         cls = self.rng.choice(("lobby-read", "queue-join", "race-entry"))
         id = f"r{len(self.talkers)}-{self.rng.getrandbits(40):x}"
         one.asked.append(id.encode())
+        self.tape.asked(id, cls)  # the last of a write may be whole later, or never: in the agent's favour
         return self.rig.ask(cls=cls, d=self.rng.choice((50, 300, 500)), id=id)
 
     async def finish(self) -> None:
@@ -158,7 +168,7 @@
         """Something of discovery or the platform."""
         rig, rng = self.rig, self.rng
         name = f"s-{rng.randrange(rig.count)}"
-        match rng.randrange(8):
+        match rng.choice(self.feeds):
             case 0:
                 rig.discovery.set(name, lifecycle="terminating")
             case 1:
@@ -166,16 +176,20 @@
             case 2:
                 rig.discovery.set(name, lifecycle="in_service", version_no=rng.choice((1, 2)), startedAtMs=10**12)
             case 3:
+                self.tape.lost("list")
                 rig.discovery.spoil = [b'{"generation":']
                 rig.discovery.set(name)
             case 4:
                 rig.desk.tell(b"2 0 %b %.2f 5" % (rng.choice((b"testing", b"recalling")), rng.choice((0.0, 0.25))))
             case 5:
+                self.tape.lost("stage")
                 rig.desk.say(b"* noise\r\n")
             case 6:
+                self.tape.lost("list", "stage")
                 for writer in rig.discovery.writers + rig.desk.writers:
                     writer.transport.abort()
             case 7:
+                self.tape.lost("list", "stage")
                 rig.node.move(rng.choice((rig, self.other)).config(name="n0"))
 
     async def play(self) -> None:
@@ -220,14 +234,20 @@
     return taken
 
 
+@asynccontextmanager
+async def day(seed: int, feeds: Sequence[int] = range(8)) -> AsyncIterator[Drawn]:
+    """An agent and its stand-ins, before anything has come."""
+    rules = {**SETTINGS["rules"], "drainGraceMs": 300.0}
+    async with Rig(count=3, seed=seed, requestClasses=SHORT, rules=rules) as rig, Rig(count=3) as other:
+        other.discovery.entries, other.discovery.generation = rig.discovery.entries, 10**6
+        yield Drawn(rig, other, seed, feeds)
+
+
 @pytest.mark.parametrize("seed", range(DRAWS))
 def test_whatever_comes_in_whatever_order(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
-        rules = {**SETTINGS["rules"], "drainGraceMs": 300.0}
-        async with Rig(count=3, seed=seed, requestClasses=SHORT, rules=rules) as rig, Rig(count=3) as other:
-            other.discovery.entries, other.discovery.generation = rig.discovery.entries, 10**6
-            drawn = Drawn(rig, other, seed)
-            taken = watched(monkeypatch, rig, drawn.audit.broken)
+        async with day(seed) as drawn:
+            taken = watched(monkeypatch, drawn.rig, drawn.audit.broken)
             await drawn.play()
             for one in drawn.talkers:
                 if not one.stayed or one.spoke_noise or one.rest:
@@ -236,8 +256,9 @@
                 got = await one.finals
                 if not one.spoke_noise and not one.rest:
                     drawn.audit.finals(one.asked, got, taken if one.stayed else set())
-            node: Any = rig.node
+            node: Any = drawn.rig.node
             assert not drawn.audit.broken, f"seed {seed}: {drawn.audit.broken}"
+            assert not (found := broken(drawn.tape.judge())), f"seed {seed}: {found}"
             assert not node.held and not node.front.ids and not node.front.clients, f"seed {seed}: held"
             assert not node.pool.open and not node.pool.connecting, f"seed {seed}: connections left"
             assert sum(drawn.audit.counts().values()) > 5, "something was sent"
@@ -245,3 +266,42 @@
                 str(task.get_coro())]
         assert not left, f"seed {seed}: {left}"
     run(work)
+
+
+def never_drains(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The module takes every server that it knows for ready."""
+    hear = Agent._serverlist
+
+    def deaf(self: Agent, news: it.ServerList) -> None:
+        hear(self, news)
+        for server in self.servers.values():
+            server.ready = True
+
+    monkeypatch.setattr(Agent, "_serverlist", deaf)
+
+
+def never_shut(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The module knows no cap."""
+    monkeypatch.setattr(Agent, "_shut", lambda *_: False)
+
+
+@pytest.mark.parametrize(("guard_out", "feeds", "rule"), [
+    (never_drains, (0, 1), "drains"), (never_shut, (2, 2, 4), "exposure"),
+])
+def test_with_a_guard_taken_out_some_drawn_day_shows_it(
+    guard_out: Callable[[pytest.MonkeyPatch], None], feeds: Sequence[int], rule: str,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    guard_out(monkeypatch)
+
+    async def found(seed: int) -> bool:
+        async with day(seed, feeds) as drawn:
+            await drawn.play()
+            return rule in broken(drawn.tape.judge())
+
+    async def work() -> None:
+        for seed in range(12):  # about nine of them show it
+            if await found(seed):
+                return
+        raise AssertionError(f"nobody saw that {rule} was broken")
+    run(work)
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from otterquay import interface as it
+from otterquay.agent.sockets import peer_closed
 from otterquay.logs import silent
 from otterquay.node.agent import Node
 from otterquay.node.config import NodeConfig, read_config
@@ -119,6 +120,7 @@
         self.generation, self.entries = 1, dict[str, dict[str, Any]]()
         self.changed, self.spoil, self.silent = asyncio.Event(), list[bytes](), False
         self.asked: list[str] = []
+        self.told: Callable[[list[dict[str, Any]], bool], None] = lambda entries, whole: None  # hears what goes out
 
     def set(self, id: str, **fields: Any) -> None:
         """Change an entry and tell it; one whose `lifecycle` is terminated is told once."""
@@ -129,11 +131,15 @@
     def listing(self, after: int | None) -> bytes:
         """The JSON of the whole list, or of what is later."""
         found = [{"zone": "north", "machineType": "std", "cell": 0, "weight": 1.0, "startedAtMs": 0, **e}
-                 for e in self.entries.values() if after is None or e["of"] > after]
-        if after is None:
-            found = [e for e in found if e["lifecycle"] != "terminated"]
+                 for e in self.later(after)]
         return json.dumps({"generation": self.generation, "reset": after is None, "instances": found}).encode()
 
+    def later(self, after: int | None) -> list[dict[str, Any]]:
+        """The entries of the whole list, or of what is later."""
+        if after is None:
+            return [e for e in self.entries.values() if e["lifecycle"] != "terminated"]
+        return [e for e in self.entries.values() if e["of"] > after]
+
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while head := await reader.readuntil(b"\r\n\r\n"):
             self.asked.append(head.split(b" ")[1].decode())
@@ -143,7 +149,14 @@
                 await self.changed.wait()
             if self.silent:
                 await asyncio.Event().wait()
-            body = self.spoil.pop() if self.spoil else self.listing(int(after[1]) if after else None)
+            if writer.is_closing() or peer_closed(writer.transport):
+                return  # who asked has gone meanwhile
+            since = int(after[1]) if after else None
+            if self.spoil:
+                body = self.spoil.pop()
+            else:
+                body = self.listing(since)
+                self.told(self.later(since), since is None)
             writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%b" % (len(body), body))
 
 
@@ -154,19 +167,24 @@
         super().__init__()
         self.state, self.votes = b"1 0 live 1 5", list[bytes]()
         self.answer: Callable[[bytes], bytes | None] = lambda _: b"OK " + self.state + b"\r\n"
+        self.told: Callable[[bytes, bool], None] = lambda state, first: None  # hears what goes out
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while line := await reader.readuntil(b"\r\n"):
             if line == b"SUB\r\n":
+                self.told(self.state, True)
                 writer.write(b"OK\r\n* progress " + self.state + b"\r\n*\r\n")
             else:
                 self.votes.append(line.strip())
                 if (answer := self.answer(line)) is not None:
+                    self.told(self.state, False)
                     writer.write(answer)
 
     def tell(self, state: bytes) -> None:
         """News of the newest build."""
         self.state = state
+        if any(not writer.is_closing() and not peer_closed(writer.transport) for writer in self.writers):
+            self.told(state, False)
         self.say(b"* progress " + state + b"\r\n")
 
     def say(self, data: bytes) -> None:
