lab mass: all five rules over a whole fleet, with releases, late news and bad answers

The run writes the tape that the auditor reads; it judges rules 1, 2, 3 and 5. Releases, drains under requests, late news by agent, failing answers and clients that leave are new; settings are a file's.

--- a/otterquay/cli/lab.py
+++ b/otterquay/cli/lab.py
@@ -10,7 +10,7 @@
 import tempfile
 from collections import Counter
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import asdict, replace
+from dataclasses import asdict
 from functools import partial
 from pathlib import Path
 from time import perf_counter
@@ -22,12 +22,11 @@
 
 from otterquay.config import ConfigError
 from otterquay.config.load import load_service
-from otterquay.config.translate import module_settings
 from otterquay.lab import search, torture
 from otterquay.lab.chat import ChatWorld, judge, unsafe_commands
 from otterquay.lab.day import load_day
-from otterquay.lab.mass import Fault, Mass
-from otterquay.lab.mass import play as play_mass
+from otterquay.lab.mass.plan import Fault, Mass, Release
+from otterquay.lab.mass.play import play as play_mass
 from otterquay.lab.play import Result, inside, play, play_with_processes, processes
 from otterquay.lab.sim import play_simulated
 from otterquay.lab.simloop import Stuck
@@ -215,24 +214,37 @@
 @click.option("--servers", type=click.IntRange(1, 4096), default=300, show_default=True)
 @click.option("--few", type=click.IntRange(1), help="Servers in the zone that is lost.")
 @click.option("--use", type=click.FloatRange(0.05, 2.0), default=0.55, show_default=True, help="Part of warm work.")
-@click.option("--told", type=click.FloatRange(0.0), default=0.0, show_default=True, help="Delay of lists, s.")
+@click.option("--told", type=click.FloatRange(0.0), default=0.0, show_default=True, help="Delay of its return, s.")
 @click.option("--killed", type=click.FloatRange(0.0, 1.0), default=0.0, show_default=True, help="Part restarted.")
+@click.option("--release/--no-release", default=False, help="A build is offered at 2 s, a stage each 4 s.")
+@click.option("--back", type=click.FloatRange(2.0), help="When the build is sent back, s.")
+@click.option("--bad", type=click.FloatRange(0.0, 1.0), default=0.0, show_default=True, help="Part that it fails.")
+@click.option("--late", type=click.FloatRange(0.0), default=0.0, show_default=True, help="News up to so late, s.")
+@click.option("--leave", type=click.FloatRange(0.0, 1.0), default=0.0, show_default=True, help="Part of clients.")
 @click.option("--seed", type=int, default=1, show_default=True)
 def mass_command(
-    file: Path, agents: int, servers: int, few: int | None, use: float, told: float, killed: float, seed: int,
+    file: Path, agents: int, servers: int, few: int | None, use: float, told: float, killed: float, release: bool,
+    back: float | None, bad: float, late: float, leave: float, seed: int,
 ) -> None:
-    """The decisions of a whole fleet with FILE's settings while a zone returns cold; exit 1 when rule 4 broke."""
+    """The decisions of a whole fleet with FILE's settings while a zone returns cold and, with --release, a build
+    is offered; exit 1 when any of the five rules broke over the sum of all agents."""
     try:
-        settings = replace(module_settings(load_service(file)), agents=agents, me=0)
+        service = load_service(file)
     except ConfigError as error:
         click.echo(str(error), err=True)
         sys.exit(2)
     begin = perf_counter()
-    found = play_mass(Mass(settings, servers, Fault(told_ms=told * 1e3, killed=killed), use, few=few), seed)
+    plan = Release(back=None if back is None else back * 1e3, bad=bad) if release else None
+    found = play_mass(Mass(service, agents, servers, Fault(told_ms=told * 1e3, killed=killed), plan, use, few,
+                           late_ms=late * 1e3, leave=leave), seed)
     click.echo(json.dumps({
-        "asked": found.asked, "served": found.served, "refused": found.refused, "to_cold": found.to_cold,
-        "worst_of_limit": round(found.worst, 3), "by_told": round(found.by_told, 3), "broken": found.broken,
-        "wall_s": round(perf_counter() - begin, 3)}))
+        "asked": found.asked, "served": found.served, "refused": found.refused, "failed": found.failed,
+        "to_cold": found.to_cold, "worst_of_limit": round(found.worst, 3), "by_told": round(found.by_told, 3),
+        "violations": {rule: len(texts) for rule, texts in found.violations.items()}, "checked": found.checked,
+        "broken": found.broken, "wall_s": round(perf_counter() - begin, 3)}))
+    for rule, texts in found.violations.items():
+        for text in texts[:3]:
+            click.echo(f"{rule}: {text}", err=True)
     sys.exit(1 if found.broken else 0)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,8 @@
 
 from otterquay.cli import main
 from otterquay.lab import play as play_module
-from otterquay.lab.auditor import Report
+from otterquay.lab.auditor import RULES, Report
+from otterquay.policy.agent import Agent
 
 EXAMPLES = EXAMPLE.parent
 
@@ -153,3 +154,15 @@
         assert process.returncode == 1 and b"cannot start" in err
         taken.close()
     run(work)
+
+
+def test_lab_mass_tells_the_five_rules_and_exits_1_when_one_broke(monkeypatch: pytest.MonkeyPatch) -> None:
+    words = ("lab", "mass", str(EXAMPLE), "--agents", "6", "--servers", "6", "--use", "0.2", "--release", "--back",
+             "7", "--bad", "0.2", "--late", "0.5", "--killed", "0.5", "--leave", "0.1")
+    code, text = call(*words)
+    found = json.loads(text)
+    assert code == 0 and found["served"] > 0 and found["violations"] == dict.fromkeys(RULES, 0)
+    assert set(found["checked"]) == set(RULES) and not found["broken"]
+    monkeypatch.setattr(Agent, "_give_up", lambda self, job: self._over(job, 0.0))
+    code, text = call(*words)
+    assert code == 1 and "no answer from agent" in text and json.loads(text.splitlines()[0])["broken"]
