--- a/otterquay/agent/feeds.py
+++ b/otterquay/agent/feeds.py
@@ -106,11 +106,12 @@
 
     def take(self, kind: it.ListKind, fleet: news.FleetNews, now_ms: float) -> it.ServerList:
         """The module's event for news whose source itself sees to order and gaps."""
-        self.refused, before = [], dict(self.entries)
-        if kind is not it.ListKind.DELTA:
-            named = {e.server for e in fleet.entries}
-            for server in before.keys() - named:
-                self._left(server)
+        self.refused, named = [], dict.fromkeys(e.server for e in fleet.entries)
+        # changes touch what they name alone: their cost does not grow with the list
+        concerned = named if kind is it.ListKind.DELTA else {**named, **dict.fromkeys(self.entries)}
+        before = {server: self.entries[server] for server in concerned if server in self.entries}
+        for server in [server for server in before if server not in named]:
+            self._left(server)
         told = []
         for entry in fleet.entries:
             if entry.state != "ready" and (held := self.entries.get(entry.server)):  # known by its number alone
--- a/tests/test_replaced.py
+++ b/tests/test_replaced.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+from typing import Any
 
 import msgspec
 import pytest
@@ -170,6 +171,26 @@
     assert book.ended == ["127.0.0.1:2"] and book.address(1) is None
 
 
+class Entries(dict[int, news.Entry]):
+    """A list's entries that nobody may go through one by one."""
+
+    def __iter__(self) -> Any:
+        raise AssertionError("all entries are looked at")
+
+    keys = values = items = __iter__
+
+
+def test_a_change_looks_at_the_servers_that_it_names_and_at_no_other() -> None:
+    book = FleetBook(["a"])
+    told(book, 1, 0.0, *(msgspec.structs.replace(server(1, port=n), server=n) for n in range(1, 50)), base=None)
+    book.entries = Entries(book.entries)
+    told(book, 2, 0.0, msgspec.structs.replace(server(2, port=7), server=7),
+         msgspec.structs.replace(server(1), server=9, state="gone"))
+    assert book.ended == ["127.0.0.1:7", "127.0.0.1:9"] and len(book.entries) == 48
+    with pytest.raises(AssertionError, match="all entries"):
+        told(book, 3, 0.0, base=None)
+
+
 # --- the running agent ---
 def test_no_request_goes_out_on_a_connection_to_the_process_of_before() -> None:
     """Idle connections close with the news; one that is busy carries its call to the end and no other."""
