--- a/tests/crossings/test_feeds.py
+++ b/tests/crossings/test_feeds.py
@@ -109,3 +109,20 @@
             rig.discovery.set("s-0", lifecycle="terminating")
             await rig.until(lambda: rig.seen(it.ServerList)[-1].entries[0].state is it.ServerState.DRAINING)
     run(work)
+
+
+def test_a_list_over_its_bound_ends_its_conversation_and_no_more(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "LIST_MOST", 1000)
+
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            said: list[str] = []
+            rig.node.list._log.warning = lambda event, **fields: said.append(f"{event} {fields.get('reason')}")
+            opened, held = rig.discovery.opened, dict(rig.node.list.entries)
+            rig.discovery.spoil = [b" " * 1001]
+            rig.discovery.set("s-0")
+            await rig.until(lambda: said)
+            assert said == ["discovery_broken content over 1000 bytes"] and rig.node.list.entries == held
+            assert await rig.say(rig.ask(id="one")) == b"for one", "nobody else is disturbed"
+            await rig.until(lambda: rig.discovery.opened > opened)
+    run(work)
