--- a/tests/crossings/test_drawn.py
+++ b/tests/crossings/test_drawn.py
@@ -16,7 +16,6 @@
 
 import pytest
 
-from otterquay import interface as it
 from otterquay.agent.back import Pool
 from otterquay.agent.exchange import Call, Connection
 from otterquay.agent.lifecycle import Phase
@@ -25,6 +24,7 @@
 from tests.crossings.audit import Audit
 from tests.crossings.forcing import run
 from tests.crossings.wiretape import WireTape, broken
+from tests.helpers import never_drains
 from tests.noderig import CLASSES, SETTINGS, Appliance, Rig, answer, served
 
 DRAWS, STEPS = int(os.environ.get("OTTERQUAY_DRAWS", "32")), 60
@@ -268,18 +268,6 @@
     run(work)
 
 
-def never_drains(monkeypatch: pytest.MonkeyPatch) -> None:
-    """The module takes every server that it knows for ready."""
-    hear = Agent._serverlist
-
-    def deaf(self: Agent, news: it.ServerList) -> None:
-        hear(self, news)
-        for server in self.servers.values():
-            server.ready = True
-
-    monkeypatch.setattr(Agent, "_serverlist", deaf)
-
-
 def never_shut(monkeypatch: pytest.MonkeyPatch) -> None:
     """The module knows no cap."""
     monkeypatch.setattr(Agent, "_shut", lambda *_: False)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,6 +4,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from otterquay import interface as it
 from otterquay.policy.agent import Agent
 
@@ -151,3 +153,15 @@
 
 def kinds(actions: list[it.Action]) -> list[type]:
     return [type(a) for a in actions if not isinstance(a, it.SetTimer)]
+
+
+def never_drains(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The module takes every server that it knows for ready: a guard taken out, to see that tests notice."""
+    hear = Agent._serverlist
+
+    def deaf(self: Agent, news: it.ServerList) -> None:
+        hear(self, news)
+        for server in self.servers.values():
+            server.ready = True
+
+    monkeypatch.setattr(Agent, "_serverlist", deaf)
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -6,7 +6,6 @@
 import random
 from collections.abc import Callable
 from dataclasses import replace
-from typing import Any
 
 import pytest
 
@@ -14,6 +13,7 @@
 from otterquay.lab.mass.plan import Fault, Mass, Release
 from otterquay.lab.mass.play import Play, play
 from otterquay.policy.agent import Agent
+from tests.helpers import never_drains
 from tests.rig import service
 
 SMALL = service(
@@ -105,17 +105,6 @@
     monkeypatch.setattr("otterquay.policy.life.UNRUN", set(it.Status))
 
 
-def never_drains(monkeypatch: pytest.MonkeyPatch) -> None:
-    hear = Agent._serverlist
-
-    def deaf(self: Any, news: it.ServerList) -> None:
-        hear(self, news)
-        for server in self.servers.values():
-            server.ready = True
-
-    monkeypatch.setattr(Agent, "_serverlist", deaf)
-
-
 def no_cap(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Agent, "_cap", lambda *_: None)
 
