--- a/otterquay/policy/bins.py
+++ b/otterquay/policy/bins.py
@@ -49,8 +49,6 @@
         self.tries = {at: times for at, times in self.tries.items() if recent(times, since)}
         for times, least in [*((t, since) for t in self.asked), (self.borne, fall), (self.to_cold, fall)]:
             recent(times, least)
-        for times in self.by_tenant:
-            recent(times, self.now - 1e3)
         for server in list(self.servers.values()):
             server.left = self.now if server.ready else server.left  # forgotten once what it was sent faded
             if not recent(server.sent, fall) and not server.open and self.now - server.left > GONE_MS:
