Breaker: a rare class of errors alone sends no build back while the earlier one fails too

Beside three times the usual share, errors had to be on three machines, or on one class out of all by the law of chance.

--- a/otterquay/policy/breaker.py
+++ b/otterquay/policy/breaker.py
@@ -28,9 +28,8 @@
                 if old_n >= LEVEL_LEAST:  # DESIGN: lacking earlier servers, the last baseline stays
                     self.before[name, span, cls] = (old_x + 0.5) / (old_n + 1)
                 usual = max(self.before.get((name, some, cls), CHANCE) for some in (POOL_BINS, DEEP))
-                odd = tail(rows[-1][1], x, n / max(rows[-1][0], n, 1))  # by chance on one class of all alike
-                # while machines of the earlier build fail too, errors of all classes alike may be machines'
-                sure = many == 1 and x > MACHINES * usual * n and (odd < CHANCE or (most and hit >= MACHINES))
+                # while machines of the earlier build fail too, as many of the trial's must fail most of the time
+                sure = many == 1 and x > MACHINES * usual * n and most and hit >= MACHINES
                 if total > 1.5 and (sure or (self.shared and usual <= CHANCE)) and x > max(
                         1.5, (usual + ERROR_MARGIN) * n) and tail(max(n, x), x, usual + CHANCE) < SURE / many:
                     return f"errors {name} class {cls}: {x:.0f} of {n:.0f}, usual {usual:.3f}"
