--- a/otterquay/policy/breaker.py
+++ b/otterquay/policy/breaker.py
@@ -28,7 +28,7 @@
                 if old_n >= LEVEL_LEAST:  # DESIGN: lacking earlier servers, the last baseline stays
                     self.before[name, span, cls] = (old_x + 0.5) / (old_n + 1)
                 usual = max(self.before.get((name, some, cls), CHANCE) for some in (POOL_BINS, DEEP))
-                # while machines of the earlier build fail too, as many of the trial's must fail most of the time
+                # while machines of the earlier build fail too, most of the trial's must fail far more
                 sure = many == 1 and x > MACHINES * usual * n and most and hit >= MACHINES
                 if total > 1.5 and (sure or (self.shared and usual <= CHANCE)) and x > max(
                         1.5, (usual + ERROR_MARGIN) * n) and tail(max(n, x), x, usual + CHANCE) < SURE / many:
--- a/otterquay/policy/evidence.py
+++ b/otterquay/policy/evidence.py
@@ -45,7 +45,7 @@
             self.calm[cls] += good and calm  # learnt quickly at first: a quiet agent has few
             learn = max(LEARN, 1 / (self.calm[cls] + 1)) * (good and calm)
             self.usual[cls] += (latency - self.usual[cls]) * learn
-            if attempt.sent - server.started > self.s.rules.cold_ms + 2 * BIN_MS:  # cold ones are slow with any
+            if attempt.sent - server.started > self.s.rules.cold_ms + 2 * BIN_MS:  # cold, any is slow
                 self._book(self.fresh, build, 4 * self.n, 1.0, log)
         if good or status is it.Status.ERROR:  # lost connections and full queues tell of machines, not builds
             self._see(server, cls, latency if good else math.nan, 1)
