Breaker: a trial that only runs into time-outs no longer ends an agent's bins for good

Callers saw an agent whose picture stands still: the end of a bin raised ZeroDivisionError before the next timer was asked for. Cause: levels count time-outs, outcomes do not, and errors were divided by outcomes. At least one is divided by now, so that it cannot come again; the other divisions of the module were read, and each has a floor.

--- a/otterquay/policy/breaker.py
+++ b/otterquay/policy/breaker.py
@@ -45,8 +45,8 @@
         n1, s1, n0, s0 = self._totals("own", DEEP)[1][:4]  # log latency over the usual of before
         # against a good build held for what the earlier one does: what slows all slows the trial's servers,
         # too, and an earlier build that fails where the trial does not must be replaced
-        n, x, old_n, old_x = self._totals("own", POOL_BINS)[0][-1]
-        spared = n1 >= LEVEL_LEAST and (s1 / n1 < WORSE / 2 or old_x > ((x + 2) / n + ERROR_MARGIN) * old_n)
+        n, x, old_n, old_x = self._totals("own", POOL_BINS)[0][-1]  # n may be 0: time-outs are levels only
+        spared = n1 >= LEVEL_LEAST and (s1 / n1 < WORSE / 2 or old_x > ((x + 2) / max(n, 1) + ERROR_MARGIN) * old_n)
         worse = self.news.phase is it.Phase.TRIAL and n0 >= LEVEL_LEAST and s0 / n0 > WORSE and not spared
         self.worse_bins = self.worse_bins + 1 if worse and earlier else 0  # of those gone only stragglers end
         slower = "all slower since it came" if self.news.stage and self.worse_bins >= WORSE_BINS else ""
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -47,6 +47,10 @@
     return it.Status.ERROR if server == 20 and rng.random() < 0.8 else it.Status.OK, 100.0
 
 
+def trial_never_answers(server: int, cls: int, rng: random.Random) -> tuple[it.Status, float]:
+    return (it.Status.TIMEOUT, 500.0) if server >= 20 else (it.Status.OK, rng.lognormvariate(4.6, 0.5) * 2.0)
+
+
 def play(
     drive: Drive, behave: Server, seconds: float, rate: float = 60.0, start: int = 0
 ) -> list[it.CastVote]:
@@ -260,6 +264,22 @@
     assert votes and {v.verdict for v in votes} == {it.Verdict.BACK}
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_a_trial_that_only_runs_into_time_outs_stops_no_agent(seed: int) -> None:
+    """A build answers nothing while the earlier one is slower than it was: the end of a bin raised ZeroDivisionError.
+
+    The exception came before the next timer was asked for, so the agent ended no bin any more: no vote, no health
+    regained, no new order of servers, until it was restarted. Seen first as a traceback of a drawn fleet, in
+    `_breaker`: time-outs count as levels, of which it had twenty, but not as outcomes, by whose number it divided.
+    """
+    drive = Drive(seed=seed, servers=8)
+    play(drive, good, 10.0)
+    drive.news(2, 0, it.Phase.TRIAL, 0.5)
+    drive.list(*[entry(20 + i, build=2) for i in range(4)])
+    play(drive, trial_never_answers, 12.0)
+    assert any(isinstance(action, it.SetTimer) for action in drive.tick(500.0))
+
+
 def test_idle_earlier_servers_are_no_measure() -> None:
     """Late in a trial the earlier servers hold little and answer quicker than before the offer."""
 
