--- a/otterquay/policy/breaker.py
+++ b/otterquay/policy/breaker.py
@@ -46,7 +46,7 @@
         # against a good build held for what the earlier one does: what slows all slows the trial's servers,
         # too, and an earlier build that fails where the trial does not must be replaced
         n, x, old_n, old_x = self._totals("own", POOL_BINS)[0][-1]  # n may be 0: time-outs are levels only
-        spared = n1 >= LEVEL_LEAST and (s1 / n1 < WORSE / 2 or old_x > ((x + 2) / max(n, 1) + ERROR_MARGIN) * old_n)
+        spared = n1 >= LEVEL_LEAST and (s1 / n1 < WORSE / 2 or old_x * n > (x + 2 + ERROR_MARGIN * n) * old_n)
         worse = self.news.phase is it.Phase.TRIAL and n0 >= LEVEL_LEAST and s0 / n0 > WORSE and not spared
         self.worse_bins = self.worse_bins + 1 if worse and earlier else 0  # of those gone only stragglers end
         slower = "all slower since it came" if self.news.stage and self.worse_bins >= WORSE_BINS else ""
