--- a/otterquay/policy/evidence.py
+++ b/otterquay/policy/evidence.py
@@ -41,10 +41,8 @@
         if good or status is it.Status.TIMEOUT:
             log = math.log(latency / self.usual[cls])
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
-            calm = self.news.phase is not it.Phase.TRIAL  # on trial, the usual stays what it was before
-            self.calm[cls] += good and calm  # learnt quickly at first: a quiet agent has few
-            learn = max(LEARN, 1 / (self.calm[cls] + 1)) * (good and calm)
-            self.usual[cls] += (latency - self.usual[cls]) * learn
+            if good and self.news.phase is not it.Phase.TRIAL:  # then, the usual stays what it was before
+                self.usual[cls] += (latency - self.usual[cls]) * LEARN
             if attempt.sent - server.started > self.s.rules.cold_ms + 2 * BIN_MS:  # cold, any is slow
                 self._book(self.fresh, build, 4 * self.n, 1.0, log)
         if good or status is it.Status.ERROR:  # lost connections and full queues tell of machines, not builds
