--- a/otterquay/lab/world.py
+++ b/otterquay/lab/world.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import secrets
 import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -12,7 +11,7 @@
 from otterquay.config.schema import Service
 from otterquay.lab.day import Day, FaultPlan
 from otterquay.lab.hosts import Host, Place
-from otterquay.lab.simloop import SimLoop
+from otterquay.lab.ports import PortClaim, claim_ports
 from otterquay.standins.appliance import Appliance, Flaw, Shape
 from otterquay.standins.clients import Clients, Habit
 from otterquay.standins.desk import Desk
@@ -24,24 +23,6 @@
 SETTLE_S = 1.0  # from the agents' start to the first request
 
 
-def free_ports(count: int, kind: socket.SocketKind = socket.SOCK_DGRAM) -> list[int]:
-    """Ports that were free a moment ago, below those that the system hands out by itself, or the loop's own."""
-    if isinstance(loop := asyncio.get_running_loop(), SimLoop):
-        return [loop.port() for _ in range(count)]
-    held: list[socket.socket] = []
-    while len(held) < count:
-        one = socket.socket(socket.AF_INET, kind)
-        try:
-            one.bind(("127.0.0.1", 20000 + secrets.randbelow(12000)))
-            held.append(one)
-        except OSError:
-            one.close()
-    ports = [int(one.getsockname()[1]) for one in held]
-    for one in held:
-        one.close()
-    return ports
-
-
 @dataclass(slots=True, eq=False)
 class World:
     """Everything but the agents' code. `hosts` makes the agent for a place."""
@@ -64,6 +45,7 @@
     _settings: dict[tuple[int, str], list[tuple[object, object]]] = field(default_factory=dict)
     _standing: dict[int, tuple[int, float]] = field(default_factory=dict)  # how many pauses hold, and since when
     _tasks: set[asyncio.Task[None]] = field(default_factory=set)
+    _claims: list[PortClaim] = field(default_factory=list)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -140,9 +122,9 @@
     async def _start(self) -> None:
         fleet_at, desk_at = await self.open()
         count = len(self.day.agents.zones)
-        ports = free_ports(count) if self.service.limits.peers else []
+        ports = self.claim(count, socket.SOCK_DGRAM) if self.service.limits.peers else []
         peers = {str(i): f"127.0.0.1:{port}" for i, port in enumerate(ports)}
-        ports = free_ports(count, socket.SOCK_STREAM) if self.service.chat else []
+        ports = self.claim(count, socket.SOCK_STREAM) if self.service.chat else []
         self.chat = {str(i): f"127.0.0.1:{port}" for i, port in enumerate(ports)}
         for number, zone in enumerate(self.day.agents.zones):
             feeds = [await self._reach(zone, at) for at in (fleet_at, desk_at)]
@@ -153,6 +135,12 @@
         self.clients = self.crowd(self.running)
         await asyncio.sleep(SETTLE_S)
 
+    def claim(self, count: int, kind: socket.SocketKind) -> list[int]:
+        """Ports for agents to bind, this day's until its end."""
+        claim = claim_ports(count, kind)
+        self._claims.append(claim)
+        return claim.ports
+
     async def _reach(self, zone: str, address: str) -> str:
         """List and desk stand in the first zone; from the others they are reached through the link to it."""
         home = self.fleet.zones[0]
@@ -182,6 +170,8 @@
             relay.close()
         if hasattr(self, "fleet"):
             self.fleet.close()
+        for claim in self._claims:  # only now: agents bound these ports until they ended
+            claim.release()
 
     # --- builds and faults ---
     async def play(self) -> None:
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -660,12 +660,12 @@
 
 def test_two_agents_talk_and_forged_words_stay_out() -> None:
     from otterquay.agent.peers import PeerSocket
-    from otterquay.lab.world import free_ports
+    from otterquay.lab.ports import claim_ports
     from otterquay.logs import silent
     from otterquay.protocol.peer import PeerLink
 
     async def work() -> None:
-        ports, heard = free_ports(2), list[tuple[int, bytes]]()
+        ports, heard = claim_ports(2).ports, list[tuple[int, bytes]]()
         addresses = {i: f"127.0.0.1:{port}" for i, port in enumerate(ports)}
         sockets = [
             PeerSocket(i, PeerLink(i, 2, bytes(32), random.Random(i)), addresses,
--- a/tests/test_chat_gateway.py
+++ b/tests/test_chat_gateway.py
@@ -23,7 +23,7 @@
 from otterquay.chat.gateway import Wire, dial
 from otterquay.chat.tokens import proof
 from otterquay.config import load_service
-from otterquay.lab.world import free_ports
+from otterquay.lab.ports import claim_ports
 
 KEY = bytes(range(32))
 SERVICE = load_service(Path(__file__).parent.parent / "examples" / "chat-agent.hcl")
@@ -34,7 +34,7 @@
 
     def __init__(self, servers: int = 2, **chat: Any) -> None:
         assert SERVICE.chat
-        port = f"127.0.0.1:{free_ports(1, socket.SOCK_STREAM)[0]}"
+        port = f"127.0.0.1:{claim_ports(1, socket.SOCK_STREAM).ports[0]}"
         self.changes = {"listen": port, **chat}
         super().__init__(servers, SERVICE.model_copy(update={
             "chat": SERVICE.chat.model_copy(update=self.changes)}))
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -357,12 +357,12 @@
 
 def test_only_peers_are_heard_and_no_word_is_over_its_bound() -> None:
     async def work() -> None:
-        from otterquay.lab.world import free_ports
+        from otterquay.lab.ports import claim_ports
         from otterquay.logs import silent
         from otterquay.node.peers import PeerSocket
 
         heard: list[tuple[int, bytes]] = []
-        at = [f"127.0.0.1:{port}" for port in free_ports(3)]
+        at = [f"127.0.0.1:{port}" for port in claim_ports(3).ports]
         sockets = [PeerSocket(at[i], i, at[:2], None, lambda n, d: heard.append((n, d)), silent())
                    for i in range(2)]
         sockets.append(PeerSocket(at[2], 5, at, None, lambda n, d: None, silent()))  # unknown to the others
