--- a/otterquay/lab/cluster/world.py
+++ b/otterquay/lab/cluster/world.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import secrets
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -23,6 +22,7 @@
 from otterquay.lab.day import AgentsPlan, ClassPlan, Day, FleetPlan, TrafficPlan
 from otterquay.lab.fleetsim.judge import Judge
 from otterquay.lab.hosts import Host, Place
+from otterquay.lab.ports import TCP
 from otterquay.lab.world import World
 from otterquay.standins.links import Link, LinkState
 from otterquay.standins.tape import Stood
@@ -70,7 +70,7 @@
         book.watch = self._effect
         self.yard = Yard(book, random.Random(self.seed + 1))
         at_yard = await self.yard.start()
-        ports = self.claim(len(self.sites), socket.SOCK_STREAM)
+        ports = self.claim(len(self.sites), TCP)
         self.numbers = {n: f"127.0.0.1:{port}" for n, port in enumerate(ports)}
         told: dict[tuple[int, int], str] = {}
         for a in self.sites:
--- a/otterquay/lab/ports.py
+++ b/otterquay/lab/ports.py
@@ -19,6 +19,8 @@
 
 FIRST_PORT, PORTS = 20000, 12000  # below those that systems hand out by themselves
 HOST = "127.0.0.1"
+Kind = socket.SocketKind
+TCP, UDP = socket.SOCK_STREAM, socket.SOCK_DGRAM
 
 
 @dataclass(slots=True)
@@ -34,7 +36,7 @@
             os.close(lock)
         self._locks.clear()
 
-    def take(self, port: int, kind: socket.SocketKind) -> None:
+    def take(self, port: int, kind: Kind) -> None:
         """Add a port, unless it is claimed or in use."""
         lock = os.open(_directory() / f"{port}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         if _locked(lock) and _bindable(port, kind):
@@ -44,7 +46,7 @@
             os.close(lock)
 
 
-def claim_ports(count: int, kind: socket.SocketKind = socket.SOCK_DGRAM) -> PortClaim:
+def claim_ports(count: int, kind: Kind = UDP) -> PortClaim:
     """So many ports of 127.0.0.1, or of the simulated loop. OSError when there are not so many."""
     if isinstance(loop := asyncio.get_running_loop(), SimLoop):
         return PortClaim([loop.port() for _ in range(count)])
@@ -73,7 +75,7 @@
     return True
 
 
-def _bindable(port: int, kind: socket.SocketKind) -> bool:
+def _bindable(port: int, kind: Kind) -> bool:
     with socket.socket(socket.AF_INET, kind) as one:
         try:
             one.bind((HOST, port))
--- a/otterquay/lab/world.py
+++ b/otterquay/lab/world.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import random
-import socket
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 from otterquay.config.schema import Service
 from otterquay.lab.day import Day, FaultPlan
 from otterquay.lab.hosts import Host, Place
-from otterquay.lab.ports import PortClaim, claim_ports
+from otterquay.lab.ports import TCP, UDP, Kind, PortClaim, claim_ports
 from otterquay.standins.appliance import Appliance, Flaw, Shape
 from otterquay.standins.clients import Clients, Habit
 from otterquay.standins.desk import Desk
@@ -122,9 +121,9 @@
     async def _start(self) -> None:
         fleet_at, desk_at = await self.open()
         count = len(self.day.agents.zones)
-        ports = self.claim(count, socket.SOCK_DGRAM) if self.service.limits.peers else []
+        ports = self.claim(count, UDP) if self.service.limits.peers else []
         peers = {str(i): f"127.0.0.1:{port}" for i, port in enumerate(ports)}
-        ports = self.claim(count, socket.SOCK_STREAM) if self.service.chat else []
+        ports = self.claim(count, TCP) if self.service.chat else []
         self.chat = {str(i): f"127.0.0.1:{port}" for i, port in enumerate(ports)}
         for number, zone in enumerate(self.day.agents.zones):
             feeds = [await self._reach(zone, at) for at in (fleet_at, desk_at)]
@@ -135,7 +134,7 @@
         self.clients = self.crowd(self.running)
         await asyncio.sleep(SETTLE_S)
 
-    def claim(self, count: int, kind: socket.SocketKind) -> list[int]:
+    def claim(self, count: int, kind: Kind) -> list[int]:
         """Ports for agents to bind, this day's until its end."""
         claim = claim_ports(count, kind)
         self._claims.append(claim)
--- a/tests/test_one_clock.py
+++ b/tests/test_one_clock.py
@@ -11,7 +11,7 @@
 
 ROOT = Path(otterquay.__file__).parent
 # these speak to the machine by their job: processes of the laboratory, the command line, free ports for a run
-MACHINE = {"lab/hosts.py", "lab/play.py", "lab/world.py", "lab/cluster/world.py",
+MACHINE = {"lab/hosts.py", "lab/play.py", "lab/ports.py", "lab/cluster/world.py",
            "cli/root.py", "cli/cluster.py", "cli/lab.py", "cli/standin.py"}
 # the one place that hands in the wall clock and takes signals; the one that asks the kernel what lies at a socket
 SEAMS = {"node/__main__.py": {"import time", "import signal", "time"}, "agent/sockets.py": {"import select"}}
