--- a/otterquay/policy/evidence.py
+++ b/otterquay/policy/evidence.py
@@ -41,8 +41,9 @@
         if good or status is it.Status.TIMEOUT:
             log = math.log(latency / self.usual[cls])
             server.slow += (min(math.exp(log), 8.0) - server.slow) * 0.1
-            if good and self.news.phase is not it.Phase.TRIAL:  # then, the usual stays what it was before
-                self.usual[cls] += (latency - self.usual[cls]) * LEARN
+            if good and self.news.phase is not it.Phase.TRIAL:  # on trial, the usual stays what it was before
+                self.calm[cls] += 1  # learnt quickly at first: a quiet agent has few
+                self.usual[cls] += (latency - self.usual[cls]) * max(LEARN, 1 / (self.calm[cls] + 1))
             if attempt.sent - server.started > self.s.rules.cold_ms + 2 * BIN_MS:  # cold, any is slow
                 self._book(self.fresh, build, 4 * self.n, 1.0, log)
                 self.warm_at = self.now if good else self.warm_at
--- a/otterquay/policy/rules.py
+++ b/otterquay/policy/rules.py
@@ -62,8 +62,7 @@
         fall, part = self.s.rules.fall_ms, COLD_PART * self.s.rules.fall_multiple * self._able(server)
         budget = part * recent(self.borne, self.now - fall) / self.fleet
         if self.warm_at < (math.inf if self.colds >= self.fleet else max(server.started, self.now - fall)):
-            # no warm server answers, so all agents meet at the cold ones, where one attempt from each is too
-            # many: it is due in turns, spread by agent and server from the server's start
+            # no warm one answers: all agents meet here, so what is below one attempt each is due in turns
             share = max(part * self.bears[0] / max(self.bears[1], 1.0), ANY_BEARS / self.s.agents)
             turn = self._age(server) / fall * share - server.key * (share < 1)
             spent = not 0 <= math.fmod(turn, 1.0) < share
--- a/otterquay/policy/state.py
+++ b/otterquay/policy/state.py
@@ -73,7 +73,7 @@
         self.tried = [(0.0, 0.0)] * (self.n + len(settings.tenants))  # by class, tenant: sent, brought worth
         # where there is no way back: the highest build that answered a key, and the least one for any key
         self.answered, self.floor = dict[int, int](), 0
-        self.usual = [c.aim_ms / 4 for c in settings.classes]
+        self.usual, self.calm = [c.aim_ms / 4 for c in settings.classes], [0] * self.n  # how many it rests on
         fields, held = enumerate(settings.report_fields), (it.LoadField.INFLIGHT, it.LoadField.QUEUE)
         self.gauge = next((i for i, f in fields if f in held and settings.reports_in_answers), None)
         self.unwatched, self.refused, self.stood = settings.discovery is it.Discovery.ASK, 0.0, -math.inf
