Claims of ports: one check of the count, and the directory is made once a claim

The loop that draws ports looked at the count in two places and made its directory again for each port. One check after the loop and one call serve.

--- a/otterquay/lab/ports.py
+++ b/otterquay/lab/ports.py
@@ -36,9 +36,9 @@
             os.close(lock)
         self._locks.clear()
 
-    def take(self, port: int, kind: Kind) -> None:
+    def take(self, port: int, kind: Kind, directory: Path) -> None:
         """Add a port, unless it is claimed or in use."""
-        lock = os.open(_directory() / f"{port}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+        lock = os.open(directory / f"{port}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         if _locked(lock) and _bindable(port, kind):
             self.ports.append(port)
             self._locks.append(lock)
@@ -50,15 +50,15 @@
     """So many ports of 127.0.0.1, or of the simulated loop. OSError when there are not so many."""
     if isinstance(loop := asyncio.get_running_loop(), SimLoop):
         return PortClaim([loop.port() for _ in range(count)])
-    claim, begin = PortClaim(), secrets.randbelow(PORTS)
+    claim, directory, begin = PortClaim(), _directory(), secrets.randbelow(PORTS)
     for offset in range(PORTS):
         if len(claim.ports) == count:
-            return claim
-        claim.take(FIRST_PORT + (begin + offset) % PORTS, kind)
-    if len(claim.ports) == count:
-        return claim
-    claim.release()
-    raise OSError(f"no {count} ports are free from {FIRST_PORT} to {FIRST_PORT + PORTS - 1}")
+            break
+        claim.take(FIRST_PORT + (begin + offset) % PORTS, kind, directory)
+    if len(claim.ports) < count:
+        claim.release()
+        raise OSError(f"no {count} ports are free from {FIRST_PORT} to {FIRST_PORT + PORTS - 1}")
+    return claim
 
 
 def _directory() -> Path:
