Bins: a warm server is counted as able to all, not computed, each half second

A server that started longer ago than the cold time and the fall window counts as one. The last resort of routing builds one list in place of two; a constant's comment says what it is.

--- a/otterquay/policy/bins.py
+++ b/otterquay/policy/bins.py
@@ -15,7 +15,8 @@
         self.bins += 1
         self.tried = [(tried * FADE, gain * FADE) for tried, gain in self.tried]
         self._drop_old()
-        able = sum(self._able(server) for server in self.servers.values() if server.ready)
+        warm = self.now - self.s.rules.fall_ms - self.s.rules.cold_ms  # started before, it is able to all
+        able = sum(1.0 if s.started < warm else self._able(s) for s in self.servers.values() if s.ready)
         self.bears = self.bears[0] * FADE + len(self.borne), self.bears[1] * FADE + able
         for server in filter(lambda s: s.series or s.bin, self.servers.values()):
             server.close()
--- a/otterquay/policy/routing.py
+++ b/otterquay/policy/routing.py
@@ -54,8 +54,7 @@
                     close = [s for s in close if not self._cold(s)]
                 if close or can:  # DESIGN: two random choices
                     return min(self.rng.choice(close or can), self.rng.choice(can or close), key=self._cost)
-        last = [every for _, every in groups if not (shut and every is self.groups[1][1])]
-        can = [s for every in last for s in every if fits(s)]
+        can = [s for _, some in groups if not (shut and some is self.groups[1][1]) for s in some if fits(s)]
         return min(self.rng.choice(can), self.rng.choice(can), key=self._cost) if can else None
 
     def _kept(self, group: list[Server]) -> list[Server]:  # few, so that open connections serve again
--- a/otterquay/policy/rules.py
+++ b/otterquay/policy/rules.py
@@ -4,7 +4,7 @@
 from otterquay import interface as it
 from otterquay.policy.state import BIN_MS, Job, Server, State, recent
 
-COLD_PART, ANY_BEARS, KEYS_MOST = 0.85, 3.0, 2 ** 18  # of a cold budget; a window, at any; keys kept
+COLD_PART, ANY_BEARS, KEYS_MOST = 0.85, 3.0, 2 ** 18  # of a cold budget; what any bears a window; keys kept
 
 
 class Rules(State):  # guards by what we sent and were told
