--- a/otterquay/lab/cluster/faults/disks.py
+++ b/otterquay/lab/cluster/faults/disks.py
@@ -5,23 +5,20 @@
 import asyncio
 import resource
 import shutil
-from typing import TYPE_CHECKING
 
 from otterquay.lab.cluster.day import Trouble
 from otterquay.lab.cluster.faults.processes import down, up
+from otterquay.lab.cluster.faults.target import FaultTarget
 
-if TYPE_CHECKING:
-    from otterquay.lab.cluster.world import ClusterWorld
 
-
-async def empty(world: ClusterWorld, trouble: Trouble, number: int) -> None:
+async def empty(world: FaultTarget, trouble: Trouble, number: int) -> None:
     """Kill an agent and start it again with an empty disk."""
     gone = await down(world, [number])
     shutil.rmtree(world.host(number).disk, ignore_errors=True)
     await up(world, gone, trouble.lasts / 1e3)
 
 
-async def old(world: ClusterWorld, trouble: Trouble, number: int) -> None:
+async def old(world: FaultTarget, trouble: Trouble, number: int) -> None:
     """Copy an agent's disk while it is down, let it run for `lasts`, then replace its disk with the copy."""
     host = world.host(number)
     gone = await down(world, [number])
@@ -34,7 +31,7 @@
     await up(world, gone, 0.1)
 
 
-async def full(world: ClusterWorld, trouble: Trouble, number: int) -> None:
+async def full(world: FaultTarget, trouble: Trouble, number: int) -> None:
     """Make writes fail: limit the file size of the running process (RLIMIT_FSIZE, by prlimit)."""
     if pid := world.host(number).pid:
         resource.prlimit(pid, resource.RLIMIT_FSIZE, (4096, 4096))
--- a/otterquay/lab/cluster/faults/false_reports.py
+++ b/otterquay/lab/cluster/faults/false_reports.py
@@ -4,21 +4,18 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING
 
 from otterquay.duties import messages as dm
 from otterquay.fleet import codec
 from otterquay.fleet.transport import Transport, group_id
 from otterquay.lab.cluster.day import Trouble
+from otterquay.lab.cluster.faults.target import FaultTarget
 from otterquay.lab.cluster.settings import GROUP_NAME
 from otterquay.logs import silent
 from otterquay.runtimes import rows as rw
 
-if TYPE_CHECKING:
-    from otterquay.lab.cluster.world import ClusterWorld
 
-
-async def nonsense(world: ClusterWorld, trouble: Trouble, number: int) -> None:
+async def nonsense(world: FaultTarget, trouble: Trouble, number: int) -> None:
     """Send all agents impossible run times under the number of one agent."""
     others = {a: address for a, address in world.addresses.items() if a != number}
     reporter = Transport(
--- a/otterquay/node/client.py
+++ b/otterquay/node/client.py
@@ -9,18 +9,17 @@
 from collections import deque
 from dataclasses import replace
 from enum import Enum
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
-from otterquay.agent.ports import FinalAnswer
+from otterquay.agent.ports import FinalAnswer, RequestHandler
 from otterquay.agent.sockets import has_unread_data, peer_closed
+from otterquay.agent.stall_detector import StallDetector
 from otterquay.agent.write_stall import WriteStall
-from otterquay.node.request_reader import QUERY, SUBMIT
+from otterquay.logs import Logger
+from otterquay.node.request_reader import QUERY, SUBMIT, RequestReader
 from otterquay.protocol import resp
 from otterquay.protocol.http import ProtocolError
 
-if TYPE_CHECKING:
-    from otterquay.node.front import Front
-
 MAX_PIPELINED_COMMANDS = 32  # unanswered commands on one connection
 INCOMPLETE_COMMAND_IDLE_S = 1.5  # since the last bytes of an incomplete command
 MAX_INCOMPLETE_COMMAND_S = 2.5  # since its first bytes; the platform allows 3 s to reject a bad command
@@ -39,6 +38,29 @@
     CLOSED = 2
 
 
+class ConnectionOwner(Protocol):
+    """What a connection needs of the listener that accepted it."""
+
+    ids: set[bytes]  # ids of open requests
+    draining: bool
+    reader: RequestReader
+    request_handler: RequestHandler
+    stall_detector: StallDetector
+    log: Logger
+
+    def now(self) -> float:
+        """Seconds on the event loop's clock."""
+
+    def active_time(self) -> float:
+        """Seconds in which the agent could read."""
+
+    def add_client(self, client: ClientConnection) -> None:
+        """Register a new connection."""
+
+    def remove_client(self, client: ClientConnection) -> None:
+        """Unregister a closed connection."""
+
+
 class PendingAnswer:
     """The place of a command's answer in the order of answers; the `Requester` of its request, if it became one."""
 
@@ -76,7 +98,7 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """asyncio protocol of one client connection. Times are seconds of `Front.active_time`."""
+    """asyncio protocol of one client connection. Times are seconds of `ConnectionOwner.active_time`."""
 
     __slots__ = (
         "bytes_dropped",
@@ -93,7 +115,7 @@
         "write_stall",
     )
 
-    def __init__(self, front: Front) -> None:
+    def __init__(self, front: ConnectionOwner) -> None:
         self.front, self.parser, self.slots = front, resp.CommandParser(), deque[PendingAnswer]()
         self.state, self.write_stall = State.OPEN, WriteStall()
         self.feeding = False  # a chunk of commands is being handled; no flush or close until its last one
--- a/otterquay/store/hints.py
+++ b/otterquay/store/hints.py
@@ -3,20 +3,34 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
+from otterquay.logs import Logger
 from otterquay.store import format as fm
 from otterquay.store.definitions import KeyChanges, Segment, StoreCorrupted, hint_name, segment_name
-
-if TYPE_CHECKING:
-    from otterquay.store.engine import Store
+from otterquay.store.files import Files
+from otterquay.store.index import Index
 
 HINT_KEYS = 2048  # keys per listing record; the event loop runs other tasks between records
 
 
-async def write_hint(store: Store, number: int, key_changes: KeyChanges, sequence: int, oldest: int) -> None:
+class HintedStore(Protocol):
+    """What hints read of a store and, when it is opened, set in it. The fields are those of `engine.Store`."""
+
+    files: Files
+    log: Logger
+    index: Index
+    segments: dict[int, Segment]
+    sequence: int
+    oldest: int
+    time: int
+    last_clock: int
+    failed: str | None
+
+
+async def write_hint(store: HintedStore, number: int, key_changes: KeyChanges, sequence: int, oldest: int) -> None:
     """Write the hint of a closed segment, without sync or rename: opening ignores an incomplete or foreign hint.
 
     `oldest` comes from a durable TRIM. Opening removes segments that a hint declares obsolete, and a power cut may
@@ -60,7 +74,7 @@
         store.log.warning("hint_not_written", file=name, reason=str(error))
 
 
-def load_hint(store: Store, number: int) -> bool:
+def load_hint(store: HintedStore, number: int) -> bool:
     """Load the places of a segment's hint; False if the hint is incomplete or belongs to another segment.
 
     StoreCorrupted: the size or sequence of the segment does not match.
@@ -101,7 +115,7 @@
     return True
 
 
-def check_sequence(store: Store, number: int, first: int) -> None:
+def check_sequence(store: HintedStore, number: int, first: int) -> None:
     """Check that a segment's first record follows the last record so far; StoreCorrupted if not."""
     if store.segments and first != store.sequence + 1:
         raise StoreCorrupted(
--- a/otterquay/store/initialization.py
+++ b/otterquay/store/initialization.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from otterquay.store import format as fm
 from otterquay.store import format1
 from otterquay.store.definitions import (
@@ -14,11 +12,9 @@
     new_segment,
     segment_name,
 )
+from otterquay.store.engine import Store
 from otterquay.store.files import Files, numbered
 
-if TYPE_CHECKING:
-    from otterquay.store.engine import Store
-
 
 async def initialize(store: Store) -> None:
     """Create or upgrade the store, and finish a creation or upgrade that a crash interrupted."""
--- a/otterquay/store/view.py
+++ b/otterquay/store/view.py
@@ -3,18 +3,27 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from otterquay.store.index import Undo
+from otterquay.store.index import Index, Undo
 
-if TYPE_CHECKING:
-    from otterquay.store.engine import Store
+
+class ViewSource(Protocol):
+    """What a view needs of its store."""
+
+    index: Index
+
+    def read_value(self, place: int) -> bytes:
+        """The value of the entry at a place. OSError, StoreCorrupted: it cannot be read."""
+
+    def close_view(self, undo: Undo) -> None:
+        """Drop a view's undo log."""
 
 
 class View:
     """A snapshot of a store. Close it or use it as a context manager: an open view keeps old segments on disk."""
 
-    def __init__(self, store: Store, undo: Undo) -> None:
+    def __init__(self, store: ViewSource, undo: Undo) -> None:
         self._store, self._undo, self._closed = store, undo, False
 
     def __enter__(self) -> View:
