Attempts over restarts: each order of events that could lose one, forced on simulated time

What callers see: an agent that starts again believes it has more room under the cap of a build on trial than it has, and sends more requests there than the rollout allows.

These force the order instead: a store on the disk of the laboratories, a clock of its own, and a loop on simulated time whose timer flushes as the agent's does.

--- /dev/null
+++ b/tests/test_attempts_over_restarts.py
@@ -0,0 +1,307 @@
+"""Attempts on builds under a cap over restarts: each order of events that could lose one, on simulated time.
+
+`docs/limits.md` states what a kill, a power loss and a failed disk may cost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+from collections import Counter
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import pytest
+
+from otterquay import interface as it
+from otterquay.agent.state_store import BIN_MS, AgentStateStore
+from otterquay.lab.disk import FaultDisk
+from otterquay.lab.simloop import simulate
+from otterquay.logs import silent
+from otterquay.store import Put, Store, open_store
+
+WINDOW_MS = 4000.0
+TICK_MS = 5.0
+COUNTED_MS = WINDOW_MS + 2 * TICK_MS  # how long the decision module counts an attempt
+HOUR_S = 3600.0
+
+
+def now_ms() -> float:
+    return asyncio.get_running_loop().time() * 1e3
+
+
+async def sleep_ms(duration_ms: float) -> None:
+    await asyncio.sleep(duration_ms / 1e3)
+
+
+async def sleep_to_bin(offset_ms: float = 0.0) -> None:
+    """Sleep until `offset_ms` after the start of the next bin."""
+    await sleep_ms(BIN_MS - now_ms() % BIN_MS + offset_ms)
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    simulate(work, 1)
+
+
+@dataclass
+class Processes:
+    """Processes that follow one another on one disk, and when each attempt was sent, by build and class."""
+
+    disk: FaultDisk = field(default_factory=FaultDisk)
+    clock_offset_s: float = 1000.0  # of the clock that the store reads, against the loop's
+    sent: list[tuple[int, int, float]] = field(default_factory=list)
+    restored: list[tuple[int, int, float]] = field(default_factory=list)
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.disk.locked = False
+        self.store: Store = await open_store(self.disk, silent(), lambda: loop.time() + self.clock_offset_s)
+        self.state = AgentStateStore(self.store, WINDOW_MS, silent())
+        _, events = self.state.recall(now_ms())
+        self.restored = [a for event in events if isinstance(event, it.Restored) for a in event.attempts]
+
+    def send(self, count: int = 1, build: int = 2, cls: int = 0) -> None:
+        for _ in range(count):
+            self.sent.append((build, cls, now_ms()))
+            self.state.tried(build, cls)
+
+    async def send_evenly(self, gap_ms: float, duration_ms: float) -> None:
+        for _ in range(int(duration_ms / gap_ms)):
+            self.send()
+            await sleep_ms(gap_ms)
+
+    async def written(self) -> None:
+        """Flush, and wait until all that was submitted is durable."""
+        self.state.flush()
+        await self.store.commit([Put("x", b"", b"")])
+
+    def kill(self) -> None:
+        """End the process without a flush; what it does later reaches a disk that nobody reads."""
+        self.disk = self.disk.after_kill()
+
+    async def stop(self) -> None:
+        self.state.flush()
+        await self.store.close()
+        self.kill()
+
+    async def restart(self) -> None:
+        await self.stop()
+        await self.start()
+
+    def lost(self, until_ms: float = float("inf")) -> dict[tuple[int, int], int]:
+        """How many attempts that still count were not restored, of those sent before `until_ms`."""
+        since = now_ms() - COUNTED_MS
+        sent = Counter((b, c) for b, c, at in self.sent if since < at < until_ms)
+        return dict(sent - Counter((b, c) for b, c, at in self.restored if at > since))
+
+    def invented(self) -> dict[tuple[int, int], int]:
+        """How many attempts were restored that nobody sent."""
+        return dict(Counter((b, c) for b, c, _ in self.restored) - Counter((b, c) for b, c, _ in self.sent))
+
+
+# --- several writes of one bin ---
+def test_a_bin_that_is_written_twice_keeps_both_parts() -> None:
+    """Guards against a flush in the middle of a bin whose count the next flush of the bin replaced."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        await sleep_to_bin()
+        for count in (3, 2, 1):
+            processes.send(count)
+            processes.send(1, cls=1)
+            await processes.written()
+        await processes.restart()
+        assert processes.lost() == processes.invented() == {}
+
+    run(work())
+
+
+@pytest.mark.parametrize("gap_ms", [5.0, 20.0, 90.0, 300.0])
+def test_even_traffic_is_restored_to_the_last_attempt(gap_ms: float) -> None:
+    """Guards against the same with the flushes that the timer makes."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        await processes.send_evenly(gap_ms, 3000.0)
+        await processes.restart()
+        assert processes.lost() == processes.invented() == {}
+
+    run(work())
+
+
+@pytest.mark.parametrize("end", ["stop", "kill"])
+def test_processes_within_one_bin_add_to_its_count(end: str) -> None:
+    """Guards against a new process that writes its own count over that of the process before it."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        await sleep_to_bin()
+        for count in (4, 3, 2, 1):
+            processes.send(count)
+            await processes.written()
+            await sleep_ms(20.0)
+            if end == "stop":
+                await processes.stop()
+            else:
+                processes.kill()
+            await processes.start()
+        assert processes.lost() == processes.invented() == {}
+
+    run(work())
+
+
+# --- a clock that is set back, or begins anew with the machine ---
+def test_a_clock_set_back_at_each_restart_loses_no_attempt() -> None:
+    """Guards against the same while store time stands: one bin then spans restarts that are seconds apart."""
+
+    async def work() -> None:
+        processes = Processes(clock_offset_s=10 * HOUR_S)
+        await processes.start()
+        for _ in range(5):
+            processes.send(2)
+            await processes.written()
+            await processes.stop()
+            await sleep_ms(500.0)
+            processes.clock_offset_s -= HOUR_S
+            await processes.start()
+            assert processes.lost() == processes.invented() == {}
+
+    run(work())
+
+
+def test_a_clock_set_back_in_a_running_process_loses_no_attempt() -> None:
+    """Guards against a bin that store time enters once and does not leave for longer than a flush takes."""
+
+    async def work() -> None:
+        processes = Processes(clock_offset_s=10 * HOUR_S)
+        await processes.start()
+        for _ in range(8):
+            processes.send(2)
+            processes.clock_offset_s -= 0.3
+            await sleep_ms(300.0)
+        await processes.restart()
+        assert processes.lost() == processes.invented() == {}
+
+    run(work())
+
+
+# --- kills and power losses ---
+SYNC_MS = 400.0
+
+
+def slow_disk(sync_ms: float) -> FaultDisk:
+    disk, sync = FaultDisk(), FaultDisk.sync
+
+    async def slow_sync(name: str) -> None:
+        await sleep_ms(sync_ms)
+        await sync(disk, name)
+
+    disk.sync = slow_sync  # type: ignore[method-assign]
+    return disk
+
+
+@pytest.mark.parametrize("sync_ms", [0.0, SYNC_MS])
+def test_a_kill_at_any_moment_of_a_bin_costs_one_interval_and_the_sync_under_way(sync_ms: float) -> None:
+    """Guards against a kill that costs more than the attempts of the last `BIN_MS`."""
+    most_lost = 0
+
+    async def killed(offset_ms: float, gap_ms: float) -> None:
+        nonlocal most_lost
+        processes = Processes(slow_disk(sync_ms))
+        await processes.start()
+        await sleep_to_bin()
+        await processes.send_evenly(gap_ms, 3000.0 + offset_ms)
+        processes.kill()
+        killed_at = now_ms()
+        await processes.start()
+        assert processes.lost(killed_at - BIN_MS - sync_ms) == {}, offset_ms
+        assert processes.invented() == {}
+        most_lost = max(most_lost, sum(processes.lost().values()))
+
+    for offset_ms in range(0, BIN_MS, 5):
+        run(killed(float(offset_ms), 5.0))
+    assert 0 < most_lost <= (BIN_MS + sync_ms) / 5.0
+
+
+def test_a_power_loss_costs_one_interval_and_two_syncs() -> None:
+    """Guards against a write that waits for longer than the sync before it."""
+
+    async def cut(offset_ms: float) -> None:
+        processes = Processes(slow_disk(SYNC_MS))
+        await processes.start()
+        await processes.send_evenly(20.0, 3000.0 + offset_ms)
+        durable = {name: bytes(file.disk) for name, file in processes.disk.durable_names.items()}
+        processes.disk = FaultDisk(durable)
+        await processes.start()
+        assert processes.lost(now_ms() - BIN_MS - 2 * SYNC_MS) == {}, offset_ms
+
+    for offset_ms in range(0, 900, 20):
+        run(cut(float(offset_ms)))
+
+
+# --- the edges of the window ---
+@pytest.mark.parametrize("offset_ms", [0.0, 0.4, 1.0, 124.7, 249.0, 249.9])
+@pytest.mark.parametrize("age_ms", [0.0, 1.0, BIN_MS, WINDOW_MS - BIN_MS, WINDOW_MS, COUNTED_MS - 0.01])
+@pytest.mark.parametrize("clock_step_s", [0.0, -HOUR_S])
+def test_an_attempt_is_restored_as_long_as_it_counts(offset_ms: float, age_ms: float, clock_step_s: float) -> None:
+    """Guards against attempts at the edge of a bin or of the window that a restart, or the second one, forgets."""
+
+    async def work() -> None:
+        processes = Processes(clock_offset_s=10 * HOUR_S)
+        await processes.start()
+        await sleep_to_bin(offset_ms)
+        processes.send(3)
+        started = now_ms()
+        await processes.written()
+        for share in (0.5, 1.0, 1.0):
+            await sleep_ms(max(started + age_ms * share - now_ms(), 0.0))
+            processes.clock_offset_s += clock_step_s
+            await processes.restart()
+            assert processes.lost() == processes.invented() == {}
+            assert all(at <= now_ms() for _, _, at in processes.restored)
+
+    run(work())
+
+
+# --- a disk that is slow or fails ---
+def test_what_waits_for_a_slow_disk_is_written_in_the_end() -> None:
+    """Guards against counts that are dropped, or replaced by later ones of their bin, while a sync takes long."""
+
+    async def work() -> None:
+        processes = Processes(slow_disk(1300.0))
+        await processes.start()
+        await processes.send_evenly(10.0, 3000.0)
+        await processes.stop()
+        await processes.start()
+        assert processes.lost() == processes.invented() == {}
+
+    run(work())
+
+
+def test_a_failed_write_costs_what_came_after_the_last_good_one() -> None:
+    """Guards against a full disk that costs more than what could not be written while it was full."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        await sleep_to_bin()
+        processes.send(5)
+        await processes.written()
+
+        def full(operation: str, name: str) -> None:
+            if operation != "read":
+                raise OSError(errno.ENOSPC, "No space left on device")
+
+        failed_at = now_ms()
+        processes.disk.fail = full
+        await processes.send_evenly(20.0, 1000.0)
+        assert processes.store.failed
+        processes.kill()
+        await processes.start()
+        assert processes.lost(failed_at) == processes.invented() == {}
+
+    run(work())
