Attempts under a cap: a flush adds to what its bin has in the store

Callers saw an agent that starts again send more requests to a build on trial than the rollout allows, by what it had forgotten of the exposure window.

Cause: a flush wrote the attempts since the flush before it as the whole count of their bin of 250 ms, in place of what the store had for it. A bin is written several times when the timer ends within the next one, when processes follow one another within it, and while store time stands after a clock that went back.

The state store now keeps the counts of bins that have not ended, begins with those of the process before, and writes sums. It holds because store time does not go back while a store is open and the store keeps the order of writes. The stored form is unchanged.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -43,7 +43,8 @@
 
     def __init__(self, store: Store, window_ms: float, log: Logger) -> None:
         self._store, self._window_ms, self._log = store, window_ms, log
-        self._bin: dict[bytes, int] = {}
+        self._bin: dict[bytes, int] = {}  # attempts since the last flush, by key
+        self._written: dict[bytes, int] = {}  # counts in the store of bins that have not ended, by key
         self._timer: asyncio.TimerHandle | None = None
         self._build = 0
         self._vote_count = self._all_keys_build = 0  # votes cast; the build that answered all keys
@@ -70,6 +71,7 @@
             for key, value in self._store.scan(TRIED):
                 until, build, cls = _TRIED.unpack(key)
                 attempts += [(build, cls, min(until + shift, now_ms))] * int(value)
+                self._written[key] = int(value)
             answered = [(int.from_bytes(k), int(v)) for k, v in self._store.scan(ANSWERED)]
             self._all_keys_build = dict(answered).get(0, 0)
             if attempts or answered:
@@ -122,14 +124,23 @@
             self._timer = asyncio.get_running_loop().call_later(BIN_MS / 1e3, self.flush)
 
     def flush(self) -> None:
-        """Write the attempts of the current bin to the store."""
+        """Write the attempts since the last flush to the store, added to what their bins already have there.
+
+        A bin may be written several times: by flushes in the middle of it, by processes that follow one another
+        within it, and for as long as store time stands.
+        """
         if self._timer:
             self._timer.cancel()
             self._timer = None
         if self._bin:
+            counts = {key: self._written.get(key, 0) + count for key, count in self._bin.items()}
             retention_s = (self._window_ms + 4 * BIN_MS) / 1e3
-            self._store.submit([Put(TRIED, key, b"%d" % count, retention_s) for key, count in self._bin.items()])
+            self._store.submit([Put(TRIED, key, b"%d" % count, retention_s) for key, count in counts.items()])
             self._bin = {}
+            now = self._store.now()
+            self._written = {
+                key: count for key, count in (self._written | counts).items() if _TRIED.unpack(key)[0] > now
+            }
 
     def answered(self, key: int, build: int, capped: bool) -> None:
         """Record the build that answered a keyed request under one-way releases; `capped`: it is on trial."""
