Agent store: an unreadable record costs no other table, and nothing read before it

Callers would see an agent that starts again send to a build on trial as if it had sent nothing within the window, after one damaged record of its list: list, stage, attempts and answered keys were restored in one block, which the first unreadable record ended. Found by reading, not seen in service.

Each table is now restored for itself, and attempts and keys that were read before an unreadable record of their own table are handed over: they only forbid. The list is still restored whole or not at all.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -19,7 +19,8 @@
 
 import asyncio
 import struct
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from itertools import islice
 
 import msgspec
@@ -52,33 +53,51 @@
 
     # --- restoring ---
     def recall(self, now_ms: float) -> tuple[news.FleetNews | None, list[it.Event]]:
-        """Return the stored list and the events that restore the rest; unreadable state is logged and left out."""
+        """Return the stored list and the events that restore the rest.
+
+        What cannot be read is logged and left out; it costs no other table, and what was read before it in its own
+        table still forbids.
+        """
         fleet: news.FleetNews | None = None
         events: list[it.Event] = []
+        with self._unreadable_left_out():
+            fleet = self._stored_fleet()
+        with self._unreadable_left_out():
+            self._build = int(self._store.get(STAGE, b"") or b"0")
+        if self._build > 0:
+            events.append(
+                it.StageNews(self._build - 1, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, float("inf"))
+            )
+        attempts: list[tuple[int, int, float]] = []
+        with self._unreadable_left_out():
+            attempts.extend(self._stored_attempts(now_ms))
+        answered: list[tuple[int, int]] = []
+        with self._unreadable_left_out():
+            answered.extend((int.from_bytes(key), int(value)) for key, value in self._store.scan(ANSWERED))
+        self._all_keys_build = dict(answered).get(0, 0)
+        if attempts or answered:
+            events.append(it.Restored(tuple(attempts), tuple(answered)))
+        return fleet, events
+
+    @contextmanager
+    def _unreadable_left_out(self) -> Iterator[None]:
+        """Log what cannot be read and go on: a damaged record must not prevent the start."""
         try:
-            for key, data in self._store.scan(LIST):
-                self._stored_list[int.from_bytes(key)] = msgspec.json.decode(data, type=news.Entry)
-            if self._stored_list:
-                fleet = news.FleetNews(0, list(self._stored_list.values()))
-            if stage := self._store.get(STAGE, b""):
-                self._build = int(stage)
-                if self._build > 0:
-                    events.append(
-                        it.StageNews(self._build - 1, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, float("inf"))
-                    )
-            shift = now_ms - self._store.now()
-            attempts = list[tuple[int, int, float]]()
-            for key, value in self._store.scan(TRIED):
-                until, build, cls = _TRIED.unpack(key)
-                attempts += [(build, cls, min(until + shift, now_ms))] * int(value)
-                self._written[key] = int(value)
-            answered = [(int.from_bytes(k), int(v)) for k, v in self._store.scan(ANSWERED)]
-            self._all_keys_build = dict(answered).get(0, 0)
-            if attempts or answered:
-                events.append(it.Restored(tuple(attempts), tuple(answered)))
-        except Exception as error:  # a damaged record must not prevent the start
+            yield
+        except Exception as error:
             self._log.warning("recall_failed", reason=f"{type(error).__name__}: {error}")
-        return fleet, events
+
+    def _stored_fleet(self) -> news.FleetNews | None:
+        for key, data in self._store.scan(LIST):
+            self._stored_list[int.from_bytes(key)] = msgspec.json.decode(data, type=news.Entry)
+        return news.FleetNews(0, list(self._stored_list.values())) if self._stored_list else None
+
+    def _stored_attempts(self, now_ms: float) -> Iterator[tuple[int, int, float]]:
+        shift = now_ms - self._store.now()
+        for key, value in self._store.scan(TRIED):
+            until, build, cls = _TRIED.unpack(key)
+            self._written[key] = int(value)
+            yield from [(build, cls, min(until + shift, now_ms))] * self._written[key]
 
     # --- storing ---
     def list(self, entries: Mapping[int, news.Entry]) -> None:
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -305,3 +305,21 @@
         assert processes.lost(failed_at) == processes.invented() == {}
 
     run(work())
+
+
+# --- damage ---
+@pytest.mark.parametrize(
+    "damaged", [("list", b"\0" * 8), ("stage", b""), ("tried", b"\xff" * 14), ("answered", b"\0" * 8)]
+)
+def test_a_damaged_record_costs_no_attempt_of_another(damaged: tuple[str, bytes]) -> None:
+    """Guards against one unreadable record that left out all that was read after it."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        processes.send(3)
+        await processes.store.commit([Put(*damaged, b"{ torn")])
+        await processes.restart()
+        assert processes.lost() == processes.invented() == {}
+
+    run(work())
