Agent store: a vote does not replace one that an earlier process cast in the same millisecond

An operator could miss a vote: its key is store time in ms and a count that begins anew with each process, and store time stands over a restart whose clock begins lower. Not seen in service; agents restore no votes.

A key that the store has is passed over, by the index alone and without reading the disk. The test failed on the commit before (one vote kept of two) and passes with this one.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -179,7 +179,10 @@
     def voted(self, vote: it.CastVote) -> None:
         """Record a vote."""
         self._vote_count += 1
-        key = self._store.now().to_bytes(8) + self._vote_count.to_bytes(4)
+        key = self._vote_key()
+        while self._store.has(VOTES, key):  # of a process that voted in the same millisecond of store time
+            self._vote_count += 1
+            key = self._vote_key()
         self._store.submit(
             [
                 Put(
@@ -192,3 +195,6 @@
                 )
             ]
         )
+
+    def _vote_key(self) -> bytes:
+        return self._store.now().to_bytes(8) + self._vote_count.to_bytes(4)
--- a/otterquay/store/engine.py
+++ b/otterquay/store/engine.py
@@ -87,6 +87,10 @@
         place = self.index.find(table, key, self.now())
         return None if place is None else self.read_value(place)
 
+    def has(self, table: str, key: bytes) -> bool:
+        """Whether a key has a value; its record is not read."""
+        return self.index.find(table, key, self.now()) is not None
+
     def read_value(self, place: int) -> bytes:
         """The value of the entry at a place."""
         return self._entry(place).value or b""
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -323,3 +323,19 @@
         assert processes.lost() == processes.invented() == {}
 
     run(work())
+
+
+# --- other records that a process begins anew from empty memory ---
+def test_votes_of_two_processes_in_one_millisecond_are_both_kept() -> None:
+    """Guards against a vote under the key of one that the process before cast."""
+
+    async def work() -> None:
+        processes = Processes()
+        for _ in range(2):
+            await processes.start()
+            processes.state.voted(it.CastVote(2, 0, it.Verdict.ON))
+            await processes.stop()
+        await processes.start()
+        assert len(list(processes.store.scan("votes"))) == 2
+
+    run(work())
