Agent store: a later build's answer is not replaced while it waits for the disk

With one-way releases, a key that a later build answered could go to an earlier build after a restart: a record is written where the store has none of a later build, and the store shows records once they are synced. Two answers to one key within a sync, the later build's first, left the earlier build's. Found by forcing the order, not in service.

The state store knows the builds in records that wait for the disk; Store.submit returns what is done once its batch is durable or has failed.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -50,6 +50,7 @@
         self._build = 0
         self._vote_count = self._all_keys_build = 0  # votes cast; the build that answered all keys
         self._stored_list: dict[int, news.Entry] = {}
+        self._unwritten_answers: dict[bytes, int] = {}  # builds in records that wait for the disk, by key
 
     # --- restoring ---
     def recall(self, now_ms: float) -> tuple[news.FleetNews | None, list[it.Event]]:
@@ -167,15 +168,27 @@
         if (
             build < self._build
             or build <= self._all_keys_build
+            or self._unwritten_answers.get(record_key, 0) >= build
             or int(self._store.get(ANSWERED, record_key) or b"0") >= build
         ):
             return
         if not capped and self._store.tables().get(ANSWERED, 0) >= MAX_ANSWERED_KEYS:
             record_key, self._all_keys_build = ALL_KEYS, build
-        self._store.submit([Put(ANSWERED, record_key, b"%d" % build)])
+        self._write_answer(record_key, build)
         if record_key == ALL_KEYS:  # after the write, so that no key is unprotected in between
             self._clear(build, ALL_KEYS + b"\0")
 
+    def _write_answer(self, record_key: bytes, build: int) -> None:
+        """Write a record that readers of the store see only once it is synced."""
+
+        def done(_: asyncio.Future[None]) -> None:
+            if self._unwritten_answers.get(record_key) == build:
+                del self._unwritten_answers[record_key]
+
+        if written := self._store.submit([Put(ANSWERED, record_key, b"%d" % build)]):
+            self._unwritten_answers[record_key] = build
+            written.add_done_callback(done)
+
     def voted(self, vote: it.CastVote) -> None:
         """Record a vote."""
         self._vote_count += 1
--- a/otterquay/store/engine.py
+++ b/otterquay/store/engine.py
@@ -15,7 +15,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 from collections import deque
 from collections.abc import Callable, Iterator, Sequence
 
@@ -139,10 +138,17 @@
         """
         await self._enqueue(changes)
 
-    def submit(self, changes: Sequence[Change]) -> None:
-        """Like `commit`, without waiting: a failure is logged and makes the store read-only."""
-        with contextlib.suppress(StoreFailed):
-            self._enqueue(changes).add_done_callback(lambda done: done.exception())
+    def submit(self, changes: Sequence[Change]) -> asyncio.Future[None] | None:
+        """Like `commit`, without waiting: a failure is logged and makes the store read-only.
+
+        Returns what is done once the batch is durable or has failed; None if the store takes no writes.
+        """
+        try:
+            written = self._enqueue(changes)
+        except StoreFailed:
+            return None
+        written.add_done_callback(lambda done: done.exception())
+        return written
 
     def _enqueue(self, changes: Sequence[Change]) -> asyncio.Future[None]:
         if self.failed:
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -339,3 +339,20 @@
         assert len(list(processes.store.scan("votes"))) == 2
 
     run(work())
+
+
+def test_an_answer_of_an_earlier_build_does_not_replace_one_that_waits_for_the_disk() -> None:
+    """Guards against a key that a later build answered and that an earlier one may answer after a restart."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        processes.state.answered(7, 3, True)
+        processes.state.answered(7, 2, True)
+        await processes.restart()
+        assert [int(value) for _, value in processes.store.scan("answered")] == [3]
+        processes.state.answered(7, 4, True)
+        await processes.written()
+        assert not processes.state._unwritten_answers
+
+    run(work())
