Agent store: a record that cannot be read keeps no request open

With one-way releases and a store, a request whose key has a record that cannot be read was answered but stayed open: the read error left the end of its attempt before the request was forgotten and the module told. With max_open of them the agent refuses all. News of a build met the same error where its keys are released.

Such a record counts as none and is written anew; keys that cannot be listed stay, and forbid. Both are logged.

The two cases of the test raised OSError on the commit before and pass with this one.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -28,7 +28,7 @@
 from otterquay import interface as it
 from otterquay.logs import Logger
 from otterquay.protocol import news
-from otterquay.store import Change, Delete, Put, Store
+from otterquay.store import Change, Delete, Put, Store, StoreCorrupted
 
 BIN_MS = 250  # the attempts of one interval are stored as one count per build and class
 LIST, STAGE, TRIED, ANSWERED, VOTES = "list", "stage", "tried", "answered", "votes"
@@ -129,8 +129,13 @@
         """Remove keys answered by builds up to this one, in batches, as all of them may exceed a store batch."""
         if self._store.failed:
             return
-        batch = list(islice(self._store.scan(ANSWERED, first), CLEAR_BATCH_KEYS))
-        if deletes := [Delete(ANSWERED, key) for key, value in batch if int(value) <= build]:
+        try:
+            batch = list(islice(self._store.scan(ANSWERED, first), CLEAR_BATCH_KEYS))
+            deletes = [Delete(ANSWERED, key) for key, value in batch if int(value) <= build]
+        except (OSError, StoreCorrupted, ValueError) as error:  # the keys stay, and forbid until a later build
+            self._log.warning("answered_keys_not_cleared", reason=f"{type(error).__name__}: {error}")
+            return
+        if deletes:
             self._store.submit(deletes)
         if len(batch) == CLEAR_BATCH_KEYS:
             asyncio.get_running_loop().call_soon(self._clear, build, batch[-1][0] + b"\0")
@@ -169,7 +174,7 @@
             build < self._build
             or build <= self._all_keys_build
             or self._unwritten_answers.get(record_key, 0) >= build
-            or int(self._store.get(ANSWERED, record_key) or b"0") >= build
+            or self._stored_answer(record_key) >= build
         ):
             return
         if not capped and self._store.tables().get(ANSWERED, 0) >= MAX_ANSWERED_KEYS:
@@ -178,6 +183,14 @@
         if record_key == ALL_KEYS:  # after the write, so that no key is unprotected in between
             self._clear(build, ALL_KEYS + b"\0")
 
+    def _stored_answer(self, record_key: bytes) -> int:
+        """The build of a record; 0 if there is none or it cannot be read, so that it is written anew."""
+        try:
+            return int(self._store.get(ANSWERED, record_key) or b"0")
+        except (OSError, StoreCorrupted, ValueError) as error:
+            self._log.warning("answered_key_unreadable", reason=f"{type(error).__name__}: {error}")
+            return 0
+
     def _write_answer(self, record_key: bytes, build: int) -> None:
         """Write a record that readers of the store see only once it is synced."""
 
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -356,3 +356,30 @@
         assert not processes.state._unwritten_answers
 
     run(work())
+
+
+@pytest.mark.parametrize("act", ["answer", "stage"])
+def test_a_record_that_cannot_be_read_holds_up_no_request_and_no_news(act: str) -> None:
+    """Guards against a read error of the store that reached the code of requests and of stages."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        processes.state.answered(7, 2, True)
+        await processes.restart()
+
+        def unreadable(operation: str, name: str) -> None:
+            if operation == "read":
+                raise OSError(errno.EIO, "Input/output error")
+
+        processes.disk.fail = unreadable
+        if act == "answer":
+            processes.state.answered(7, 3, True)
+        else:
+            processes.state.stage(it.StageNews(3, 0, it.Phase.TRIAL, False, it.Status.OK, 0.1, 0.0))
+        processes.disk.fail = lambda operation, name: None
+        await processes.written()
+        expected = [3] if act == "answer" else [2]
+        assert [int(value) for _, value in processes.store.scan("answered")] == expected
+
+    run(work())
