Agent store: a build that goes back releases keys whose records still wait for the disk

With one-way releases, a key answered just before its build went back was refused by every build after a restart, until the desk spoke: the record became durable after the keys of the build had been listed and removed. Found by forcing the order, not seen in service.

Records that wait are known and removed in later batches of the same store, in parts of the size that is used for the others.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -120,11 +120,21 @@
         back = stage.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN)
         if back or stage.build > self._build:
             self._all_keys_build = 0
-            self._clear(stage.build if back else stage.build - 1)
+            self._release_keys(stage.build if back else stage.build - 1)
         if stage.build > self._build:
             self._build = stage.build
             self._store.submit([Put(STAGE, b"", b"%d" % stage.build)])
 
+    def _release_keys(self, build: int) -> None:
+        """Remove keys answered by builds up to this one, also those whose records wait for the disk."""
+        unwritten = [key for key, answered_by in self._unwritten_answers.items() if answered_by <= build]
+        for start in range(0, len(unwritten), CLEAR_BATCH_KEYS):  # all of them may exceed a store batch
+            batch = unwritten[start : start + CLEAR_BATCH_KEYS]
+            self._store.submit([Delete(ANSWERED, key) for key in batch])
+        for key in unwritten:
+            del self._unwritten_answers[key]
+        self._clear(build)
+
     def _clear(self, build: int, first: bytes = b"") -> None:
         """Remove keys answered by builds up to this one, in batches, as all of them may exceed a store batch."""
         if self._store.failed:
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -358,6 +358,20 @@
     run(work())
 
 
+def test_a_build_that_goes_back_releases_keys_whose_records_wait_for_the_disk() -> None:
+    """Guards against a key that stays with a build that is gone, and is refused after a restart."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        processes.state.answered(7, 3, True)
+        processes.state.stage(it.StageNews(3, 0, it.Phase.GOING_BACK, False, it.Status.OK, 0.0, 0.0))
+        await processes.restart()
+        assert not list(processes.store.scan("answered"))
+
+    run(work())
+
+
 @pytest.mark.parametrize("act", ["answer", "stage"])
 def test_a_record_that_cannot_be_read_holds_up_no_request_and_no_news(act: str) -> None:
     """Guards against a read error of the store that reached the code of requests and of stages."""
