Agent store: attempts are kept as long as a slow tick makes them count

With a tick over 500 ms an agent forgot attempts over a restart that its decision module would still count, the window and two ticks; the store kept them for the window and a second. Found at the edges of the window, not seen in service: the usual tick is 5 ms.

The agent gives the state store the time for which an attempt counts.

--- a/otterquay/agent/http_agent.py
+++ b/otterquay/agent/http_agent.py
@@ -229,7 +229,8 @@
         pool = Pool(limits.connect_timeout / 1e3, limits.keepalive / 1e3, appliance_protocol, log)
         super().__init__(settings, pool, rng, log, decider)
         self.service = service
-        self._state_store = AgentStateStore(store, settings.rollout.window_ms, log) if store else None
+        counted_ms = settings.rollout.window_ms + 2 * settings.tick_ms  # as the decision module counts attempts
+        self._state_store = AgentStateStore(store, counted_ms, log) if store else None
         self.front = Front(service, self, log)
         server_list, desk = SseServerList(service, self, rng, log), SseReleaseDesk(service, self, rng, log)
         self._fleet, self._desk = server_list.registry, desk.record
--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -40,7 +40,7 @@
 
 
 class AgentStateStore:
-    """Writes an agent's state to its store, without waiting for the disk; `window_ms` is the exposure window."""
+    """Writes an agent's state to its store, without waiting for the disk; an attempt counts for `window_ms`."""
 
     def __init__(self, store: Store, window_ms: float, log: Logger) -> None:
         self._store, self._window_ms, self._log = store, window_ms, log
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -7,14 +7,17 @@
 
 import asyncio
 import errno
+import random
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
 import pytest
+from rig import service
 
 from otterquay import interface as it
+from otterquay.agent.http_agent import HttpAgent
 from otterquay.agent.state_store import BIN_MS, AgentStateStore
 from otterquay.lab.disk import FaultDisk
 from otterquay.lab.simloop import simulate
@@ -267,6 +270,30 @@
     run(work())
 
 
+def test_attempts_are_kept_as_long_as_a_slow_tick_makes_them_count() -> None:
+    """Guards against a life in the store shorter than what the decision module counts: window and two ticks."""
+
+    async def work() -> None:
+        slow_tick = service().model_copy(update={"tick": 2000.0})
+        processes = Processes()
+        await processes.start()
+
+        def agent_state() -> AgentStateStore:
+            state = HttpAgent(slow_tick, random.Random(1), silent(), store=processes.store)._state_store
+            assert state
+            return state
+
+        processes.state = agent_state()
+        processes.send(3)
+        await processes.written()
+        await sleep_ms(slow_tick.rollout.window + 2 * slow_tick.tick - 10.0)
+        await processes.restart()
+        _, events = agent_state().recall(now_ms())
+        assert [len(event.attempts) for event in events if isinstance(event, it.Restored)] == [3]
+
+    run(work())
+
+
 # --- a disk that is slow or fails ---
 def test_what_waits_for_a_slow_disk_is_written_in_the_end() -> None:
     """Guards against counts that are dropped, or replaced by later ones of their bin, while a sync takes long."""
