--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -19,7 +19,8 @@
 
 import asyncio
 import struct
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from itertools import islice
 
 import msgspec
@@ -27,7 +28,7 @@
 from otterquay import interface as it
 from otterquay.logs import Logger
 from otterquay.protocol import news
-from otterquay.store import Change, Delete, Put, Store
+from otterquay.store import Change, Delete, Put, Store, StoreCorrupted
 
 BIN_MS = 250  # the attempts of one interval are stored as one count per build and class
 LIST, STAGE, TRIED, ANSWERED, VOTES = "list", "stage", "tried", "answered", "votes"
@@ -39,44 +40,65 @@
 
 
 class AgentStateStore:
-    """Writes an agent's state to its store, without waiting for the disk; `window_ms` is the exposure window."""
+    """Writes an agent's state to its store, without waiting for the disk; an attempt counts for `window_ms`."""
 
     def __init__(self, store: Store, window_ms: float, log: Logger) -> None:
         self._store, self._window_ms, self._log = store, window_ms, log
-        self._bin: dict[bytes, int] = {}
+        self._bin: dict[bytes, int] = {}  # attempts since the last flush, by key
+        self._written: dict[bytes, int] = {}  # counts in the store of bins that have not ended, by key
         self._timer: asyncio.TimerHandle | None = None
         self._build = 0
         self._vote_count = self._all_keys_build = 0  # votes cast; the build that answered all keys
         self._stored_list: dict[int, news.Entry] = {}
+        self._unwritten_answers: dict[bytes, int] = {}  # builds in records that wait for the disk, by key
 
     # --- restoring ---
     def recall(self, now_ms: float) -> tuple[news.FleetNews | None, list[it.Event]]:
-        """Return the stored list and the events that restore the rest; unreadable state is logged and left out."""
+        """Return the stored list and the events that restore the rest.
+
+        What cannot be read is logged and left out; it costs no other table, and what was read before it in its own
+        table still forbids.
+        """
         fleet: news.FleetNews | None = None
         events: list[it.Event] = []
+        with self._unreadable_left_out():
+            fleet = self._stored_fleet()
+        with self._unreadable_left_out():
+            self._build = int(self._store.get(STAGE, b"") or b"0")
+        if self._build > 0:
+            events.append(
+                it.StageNews(self._build - 1, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, float("inf"))
+            )
+        attempts: list[tuple[int, int, float]] = []
+        with self._unreadable_left_out():
+            attempts.extend(self._stored_attempts(now_ms))
+        answered: list[tuple[int, int]] = []
+        with self._unreadable_left_out():
+            answered.extend((int.from_bytes(key), int(value)) for key, value in self._store.scan(ANSWERED))
+        self._all_keys_build = dict(answered).get(0, 0)
+        if attempts or answered:
+            events.append(it.Restored(tuple(attempts), tuple(answered)))
+        return fleet, events
+
+    @contextmanager
+    def _unreadable_left_out(self) -> Iterator[None]:
+        """Log what cannot be read and go on: a damaged record must not prevent the start."""
         try:
-            for key, data in self._store.scan(LIST):
-                self._stored_list[int.from_bytes(key)] = msgspec.json.decode(data, type=news.Entry)
-            if self._stored_list:
-                fleet = news.FleetNews(0, list(self._stored_list.values()))
-            if stage := self._store.get(STAGE, b""):
-                self._build = int(stage)
-                if self._build > 0:
-                    events.append(
-                        it.StageNews(self._build - 1, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, float("inf"))
-                    )
-            shift = now_ms - self._store.now()
-            attempts = list[tuple[int, int, float]]()
-            for key, value in self._store.scan(TRIED):
-                until, build, cls = _TRIED.unpack(key)
-                attempts += [(build, cls, min(until + shift, now_ms))] * int(value)
-            answered = [(int.from_bytes(k), int(v)) for k, v in self._store.scan(ANSWERED)]
-            self._all_keys_build = dict(answered).get(0, 0)
-            if attempts or answered:
-                events.append(it.Restored(tuple(attempts), tuple(answered)))
-        except Exception as error:  # a damaged record must not prevent the start
+            yield
+        except Exception as error:
             self._log.warning("recall_failed", reason=f"{type(error).__name__}: {error}")
-        return fleet, events
+
+    def _stored_fleet(self) -> news.FleetNews | None:
+        for key, data in self._store.scan(LIST):
+            self._stored_list[int.from_bytes(key)] = msgspec.json.decode(data, type=news.Entry)
+        return news.FleetNews(0, list(self._stored_list.values())) if self._stored_list else None
+
+    def _stored_attempts(self, now_ms: float) -> Iterator[tuple[int, int, float]]:
+        shift = now_ms - self._store.now()
+        for key, value in self._store.scan(TRIED):
+            until, build, cls = _TRIED.unpack(key)
+            self._written[key] = int(value)
+            yield from [(build, cls, min(until + shift, now_ms))] * self._written[key]
 
     # --- storing ---
     def list(self, entries: Mapping[int, news.Entry]) -> None:
@@ -98,17 +120,32 @@
         back = stage.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN)
         if back or stage.build > self._build:
             self._all_keys_build = 0
-            self._clear(stage.build if back else stage.build - 1)
+            self._release_keys(stage.build if back else stage.build - 1)
         if stage.build > self._build:
             self._build = stage.build
             self._store.submit([Put(STAGE, b"", b"%d" % stage.build)])
 
+    def _release_keys(self, build: int) -> None:
+        """Remove keys answered by builds up to this one, also those whose records wait for the disk."""
+        unwritten = [key for key, answered_by in self._unwritten_answers.items() if answered_by <= build]
+        for start in range(0, len(unwritten), CLEAR_BATCH_KEYS):  # all of them may exceed a store batch
+            batch = unwritten[start : start + CLEAR_BATCH_KEYS]
+            self._store.submit([Delete(ANSWERED, key) for key in batch])
+        for key in unwritten:
+            del self._unwritten_answers[key]
+        self._clear(build)
+
     def _clear(self, build: int, first: bytes = b"") -> None:
         """Remove keys answered by builds up to this one, in batches, as all of them may exceed a store batch."""
         if self._store.failed:
             return
-        batch = list(islice(self._store.scan(ANSWERED, first), CLEAR_BATCH_KEYS))
-        if deletes := [Delete(ANSWERED, key) for key, value in batch if int(value) <= build]:
+        try:
+            batch = list(islice(self._store.scan(ANSWERED, first), CLEAR_BATCH_KEYS))
+            deletes = [Delete(ANSWERED, key) for key, value in batch if int(value) <= build]
+        except (OSError, StoreCorrupted, ValueError) as error:  # the keys stay, and forbid until a later build
+            self._log.warning("answered_keys_not_cleared", reason=f"{type(error).__name__}: {error}")
+            return
+        if deletes:
             self._store.submit(deletes)
         if len(batch) == CLEAR_BATCH_KEYS:
             asyncio.get_running_loop().call_soon(self._clear, build, batch[-1][0] + b"\0")
@@ -122,14 +159,23 @@
             self._timer = asyncio.get_running_loop().call_later(BIN_MS / 1e3, self.flush)
 
     def flush(self) -> None:
-        """Write the attempts of the current bin to the store."""
+        """Write the attempts since the last flush to the store, added to what their bins already have there.
+
+        A bin may be written several times: by flushes in the middle of it, by processes that follow one another
+        within it, and for as long as store time stands.
+        """
         if self._timer:
             self._timer.cancel()
             self._timer = None
         if self._bin:
+            counts = {key: self._written.get(key, 0) + count for key, count in self._bin.items()}
             retention_s = (self._window_ms + 4 * BIN_MS) / 1e3
-            self._store.submit([Put(TRIED, key, b"%d" % count, retention_s) for key, count in self._bin.items()])
+            self._store.submit([Put(TRIED, key, b"%d" % count, retention_s) for key, count in counts.items()])
             self._bin = {}
+            now = self._store.now()
+            self._written = {
+                key: count for key, count in (self._written | counts).items() if _TRIED.unpack(key)[0] > now
+            }
 
     def answered(self, key: int, build: int, capped: bool) -> None:
         """Record the build that answered a keyed request under one-way releases; `capped`: it is on trial."""
@@ -137,19 +183,42 @@
         if (
             build < self._build
             or build <= self._all_keys_build
-            or int(self._store.get(ANSWERED, record_key) or b"0") >= build
+            or self._unwritten_answers.get(record_key, 0) >= build
+            or self._stored_answer(record_key) >= build
         ):
             return
         if not capped and self._store.tables().get(ANSWERED, 0) >= MAX_ANSWERED_KEYS:
             record_key, self._all_keys_build = ALL_KEYS, build
-        self._store.submit([Put(ANSWERED, record_key, b"%d" % build)])
+        self._write_answer(record_key, build)
         if record_key == ALL_KEYS:  # after the write, so that no key is unprotected in between
             self._clear(build, ALL_KEYS + b"\0")
 
+    def _stored_answer(self, record_key: bytes) -> int:
+        """The build of a record; 0 if there is none or it cannot be read, so that it is written anew."""
+        try:
+            return int(self._store.get(ANSWERED, record_key) or b"0")
+        except (OSError, StoreCorrupted, ValueError) as error:
+            self._log.warning("answered_key_unreadable", reason=f"{type(error).__name__}: {error}")
+            return 0
+
+    def _write_answer(self, record_key: bytes, build: int) -> None:
+        """Write a record that readers of the store see only once it is synced."""
+
+        def done(_: asyncio.Future[None]) -> None:
+            if self._unwritten_answers.get(record_key) == build:
+                del self._unwritten_answers[record_key]
+
+        if written := self._store.submit([Put(ANSWERED, record_key, b"%d" % build)]):
+            self._unwritten_answers[record_key] = build
+            written.add_done_callback(done)
+
     def voted(self, vote: it.CastVote) -> None:
         """Record a vote."""
         self._vote_count += 1
-        key = self._store.now().to_bytes(8) + self._vote_count.to_bytes(4)
+        key = self._vote_key()
+        while self._store.has(VOTES, key):  # of a process that voted in the same millisecond of store time
+            self._vote_count += 1
+            key = self._vote_key()
         self._store.submit(
             [
                 Put(
@@ -162,3 +231,6 @@
                 )
             ]
         )
+
+    def _vote_key(self) -> bytes:
+        return self._store.now().to_bytes(8) + self._vote_count.to_bytes(4)
