Connection pool: closing it ends the calls that still connect

A caller of a pool that closes waited until its own deadline for a call whose connect had been cancelled: close cancelled the task of a pending connect, and the call had no end. Found by reading; no client is known to have met it, as the agent answers its clients before it closes the pool.

Such a call now ends as called off while connecting, which proves that its request was not sent.

--- a/otterquay/agent/connection_pool.py
+++ b/otterquay/agent/connection_pool.py
@@ -106,7 +106,7 @@
                 connection_or_call.use = ConnectionUse.LAST_EXCHANGE
 
     def close(self) -> None:
-        """Close everything; calls in progress end as closed, and pending connects are cancelled."""
+        """Close everything; calls in progress end as closed, and calls that still connect as called off."""
         if self._sweeper:
             self._sweeper.cancel()
         for connection in list(self.open):
@@ -114,8 +114,7 @@
                 self._end(connection.call, End.CLOSED)
             self._close(connection)
         for call in list(self.connecting):
-            if call.task:
-                call.task.cancel()
+            self._end(call, End.CALLED_OFF_CONNECTING)
         self.idle.clear()
 
     def _make_room(self) -> bool:
--- a/tests/crossings/test_appliances.py
+++ b/tests/crossings/test_appliances.py
@@ -122,3 +122,18 @@
         plain.close()
 
     run(work, loop)
+
+
+def test_closing_the_pool_ends_calls_that_still_connect() -> None:
+    """Guards against a caller that waits until its deadline for a connect that was cancelled."""
+
+    async def work() -> None:
+        calls, plain = PoolCalls(), BlockingAppliance()
+        calls.call(plain.address)
+        calls.pool.close()
+        assert calls.ends == [End.CALLED_OFF_CONNECTING]
+        await until(lambda: not calls.pool.connecting)
+        assert calls.ends == [End.CALLED_OFF_CONNECTING] and not calls.pool.open
+        plain.close()
+
+    run(work)
