Sites: a newer token that the yard knows is stored before the coordinator stops

A site coordinator that the yard refused raised its newest token in memory only. A restart then stood for election with a token that the yard refuses again.

Answers to a candidacy stored such a token already; both now go through Site.learn_token, which writes it in the same step, so before any message of the step leaves.

--- a/otterquay/fleet/site_coordinator.py
+++ b/otterquay/fleet/site_coordinator.py
@@ -88,9 +88,7 @@
         if answer.status != STATUS_STALE_TOKEN or not self.site.acting:
             return
         newest = Token.parse(answer.etag) if answer.etag else self.token
-        stored = self.site.stored
-        if newest > stored.newest:
-            stored.newest, stored.voted = newest, None
+        self.site.learn_token(newest, out)
         self.site.stop(now, "the yard has a newer token", out)
 
     def _order(self, now: float, out: Effects) -> None:
--- a/otterquay/sites/site.py
+++ b/otterquay/sites/site.py
@@ -227,6 +227,13 @@
                 out.send(agent, ms.Released(token))
         self.handle_released(self.me, ms.Released(token), out)
 
+    def learn_token(self, newest: Token, out: Effects) -> None:
+        """Store a token that another party knows, if it is newer: the next candidacy uses a higher one."""
+        if newest > self.stored.newest:
+            self.stored.newest = newest
+            self.stored.voted = None
+            self._persist(out)
+
     # --- time ---
     def tick(self, now: float, out: Effects) -> None:
         """Run all work that is due at `now`."""
@@ -359,9 +366,8 @@
         )
 
     def _handle_answer(self, now: float, sender: int, answer: ms.Answer, out: Effects) -> None:
-        if answer.newest > self.stored.newest and not answer.granted:
-            self.stored.newest, self.stored.voted = answer.newest, None  # the next candidacy uses a higher token
-            self._persist(out)
+        if not answer.granted:
+            self.learn_token(answer.newest, out)
         if answer.token != self.token or not answer.granted:
             return
         if self.role is (Role.ASKING if answer.pre else Role.STANDING):
--- a/tests/fleet/test_sites.py
+++ b/tests/fleet/test_sites.py
@@ -9,6 +9,8 @@
 from otterquay.cores.effects import Effects
 from otterquay.duties.commands import Act
 from otterquay.duties.token import Token
+from otterquay.duties.yard_orders import STATUS_STALE_TOKEN, Answer
+from otterquay.fleet.site_coordinator import SiteCoordinator
 from otterquay.sites import messages as ms
 from otterquay.sites.journal import MAX_JOURNAL_ACTS, Journal
 from otterquay.sites.site import BARRED_UNTIL_JOINED, Site, StoredState, Times
@@ -192,3 +194,18 @@
     assert journal.is_full(token) and max(map(len, journal.pieces(token))) == 256
     journal.remove(token, out)
     assert journal.acts == {}
+
+
+def test_a_newer_token_that_the_yard_knows_is_stored_before_the_coordinator_stops() -> None:
+    """Guards against a restart that forgets the token and stands for election with one that the yard refuses."""
+    site = Cluster(1).sites[0]
+    site.tick(100.0, Effects())
+    site.tick(200.0, Effects())
+    assert site.acting
+    coordinator = SiteCoordinator("a", site, lambda now, alive: {}, 1.0, lambda request, answered, out: None)
+    coordinator.token = site.token
+    out = Effects()
+    coordinator._handle_listing(200.0, Answer(STATUS_STALE_TOKEN, str(Token(9))), out)
+    assert not site.acting
+    stored = [msgspec.msgpack.decode(write.value, type=StoredState) for write in out.writes if write.value]
+    assert [state.newest for state in stored] == [Token(9)]
