--- a/otterquay/fleet/plan.py
+++ b/otterquay/fleet/plan.py
@@ -20,7 +20,6 @@
     status: float = 0.5  # between two statuses to the leader
     yard: float = 1.0  # between two listings of the yard
     settle: float = 20.0  # how long an unheard site or an open journal delays a grant; then the yard's list decides
-    epoch: float = 60.0  # length of an epoch; run times of older epochs weigh less
     retire: float = 0.0  # how long servers must be surplus before they are retired; 0: never
     owes: float = 0.0  # time within which an owner must make progress; 0: no posts, no owner is relieved
 
--- a/otterquay/runtimes/evidence.py
+++ b/otterquay/runtimes/evidence.py
@@ -12,7 +12,6 @@
 
 EPOCH_S = 60.0
 MAX_ROWS_PER_MESSAGE = 400
-RESEND_S = 1.0
 
 
 class RunTimeTable(msgspec.Struct, array_like=True):
