Tests of chat sessions: each restarted hub draws from a generator of its own

What was seen: `nothing_runs_twice` of `TestSessions` failed at times. Nobody's commands ran twice: the harness was wrong.

Cause: it seeded a restarted hub with 1000 plus the records left. Two restarts that leave equally many drew the same session id, and the later session's first command had the key of a lost one.

Evidence and test: the steps restart(0), enter, type(4), restart(2), enter, type(4), now a test of their own, failed before (`pytest tests/test_chat_hub.py -k restart`: one key, submitted twice) and pass now. The invariant is unchanged.

Why it holds: the seed is the agent and the number of the restart, which no two restarts share.

--- a/tests/test_chat_hub.py
+++ b/tests/test_chat_hub.py
@@ -44,6 +44,7 @@
         self.other: list[chat_hub.Action] = []
         self.persisted: list[chat_hub.Persist] = []
         self.last_conn = 0
+        self.restarts = 0
         self.args = agent_number, changes
 
     def handle(self, event: chat_hub.Event) -> list[chat_hub.Action]:
@@ -78,7 +79,8 @@
                     sessions.pop(persist.session, None)
         agent_number, changes = self.args
         fresh = HubHarness(agent_number, incarnation=99, **changes)
-        fresh.hub._rng = random.Random(len(self.persisted) + 1000)
+        self.restarts += 1
+        fresh.hub._rng = random.Random(f"agent {agent_number}, restart {self.restarts}")
         self.hub = fresh.hub
         self.hub.restore(self.now, chat_hub.StoredSessions(7, sessions))
 
@@ -595,3 +597,13 @@
 
 Sessions.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
 TestSessions = Sessions.TestCase
+
+
+def test_a_restarted_hub_does_not_draw_the_ids_of_sessions_that_a_restart_lost() -> None:
+    steps = Sessions()
+    steps.restart(0)
+    steps.type(steps.enter(), 4)
+    steps.restart(2)  # loses the session and its command
+    steps.type(steps.enter(), 4)
+    assert len(steps.ran) == 2
+    steps.nothing_runs_twice()
