Votes: the log names the evidence of a vote, and the votes that the draw suppressed

After a bad build had got past its first stage the logs could not tell on what evidence it was voted on, nor whether agents that saw it fail had lost the draw of their vote.

A vote's log line now goes on with the time since the news of the stage, the servers judged, the score of each bin, the pairs compared in the newest bin, and for each pool of evidence the errors of the outcomes by class and the mean log latency over the usual one, trial before earlier builds. Where the draw suppresses a vote the same line says so; it is due no more often than a vote, once in the life of a vote and verdict. Nothing is logged per bin.

The new test fails in both its cases without the change.

--- a/otterquay/policy/bins.py
+++ b/otterquay/policy/bins.py
@@ -67,13 +67,14 @@
         seen = [s for s in self.servers.values() if s.ready and self.now - s.listed_at >= MIN_LISTED_MS]
         trial = [s for s in seen if s.entry.build == self.stage_news.build]
         earlier = [s for s in seen if s.entry.build < self.stage_news.build]
-        scores = list[float]()
+        scores, self.compared_pairs = list[float](), 0
         for metric, baseline in enumerate(self.baseline_distances if is_evaluator else ()):
             old, new = ([s for s in group if metric in s.series] for group in (earlier or trial, trial))
             distances = self._pair_distances(new, old, metric)
             # Without servers of an earlier build the last baseline stays. Prescribed by the published design.
             baseline.extend(self._pair_distances(old, old, metric) if earlier or not judged else ())
             if distances and len(baseline) >= MIN_BASELINE_PAIRS:
+                self.compared_pairs += len(distances)
                 scores.append(metric_score(fmean(distances), baseline))
         if judged:
             self._evaluate(scores, trial, earlier, own_outcomes)
--- a/otterquay/policy/state.py
+++ b/otterquay/policy/state.py
@@ -181,6 +181,10 @@
         # All builds on trial that ready servers run.
         self.trial_builds = set[int]()
         self.bin_count, self.ranked_bin, self.bin_scores = 0, -1, deque[float](maxlen=MAX_BIN_SCORES)
+        # For the log of a vote: when the stage's news came, and of the newest bin the pairs compared and the number
+        # of servers on trial and of earlier builds.
+        self.stage_began_at, self.compared_pairs = 0.0, 0
+        self.judged_servers = (0, 0)
         # Some agent must see all evidence: where agents may exchange messages, all send theirs to a few of them,
         # the evaluators, whose numbers are spread evenly over all agents.
         self.evaluators = sorted(
--- a/otterquay/policy/updates.py
+++ b/otterquay/policy/updates.py
@@ -55,6 +55,7 @@
             self.key_builds = {key: b for key, b in self.key_builds.items() if b >= news.build}
         if (news.build, news.stage, news.phase) != (old.build, old.stage, old.phase):
             self.bin_scores.clear()
+            self.stage_began_at = self.now
             self.late_bins, self.slower_bins, self.last_vote = 0, 0, (0, 0, it.Verdict.NONE)
             if news.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN):
                 self.key_builds, self.any_key_build = {}, 0
--- a/otterquay/policy/votes.py
+++ b/otterquay/policy/votes.py
@@ -5,7 +5,7 @@
 from otterquay import interface as it
 from otterquay.policy.breaker import ERROR_MARGIN, MIN_LEVEL_LATENCIES, Breaker
 from otterquay.policy.scoring import settled
-from otterquay.policy.state import MIN_CLASS_OUTCOMES, POOL_BINS, Server
+from otterquay.policy.state import BIN_MS, MIN_CLASS_OUTCOMES, POOL_BINS, Server
 
 # Mean score needed for a vote on. Prescribed by the published design.
 PASSING_MEAN = 0.9
@@ -23,6 +23,7 @@
     def _evaluate(
         self, scores: list[float], trial: list[Server], earlier: list[Server], own_outcomes: float
     ) -> None:
+        self.judged_servers = len(trial), len(earlier)
         trip_reason = self.trip_reason = self.trip_reason or self._breaker(trial, earlier, own_outcomes)
         # A tripped breaker sets the average to zero. Prescribed by the published design.
         if scores or trip_reason:
@@ -84,6 +85,33 @@
         # Only evaluators vote on; a draw over all agents would leave a good build without a vote for long.
         voters = len(self.evaluators) if self.settings.me in self.evaluators else self.settings.agents
         # On average, all voters together use at most half of the platform's call rate.
-        if self.rng.random() * 2000 * voters < self.rollout.calls_per_s * self.rollout.vote_life_ms:
+        drawn = self.rng.random() * 2000 * voters < self.rollout.calls_per_s * self.rollout.vote_life_ms
+        if drawn:
             self.actions.append(it.CastVote(*vote))
-            self.actions.append(it.Log(f"build {vote[0]} stage {vote[1]}: vote {verdict.name} on {why}"))
+        vote_text = f"vote {verdict.name}" if drawn else f"no vote {verdict.name} by the draw"
+        self.actions.append(it.Log(f"build {vote[0]} stage {vote[1]}: {vote_text} on {why}; {self._vote_basis()}"))
+
+    def _vote_basis(self) -> str:
+        """Return what a vote rests on, for the log: the time in the stage, servers, scores and evidence."""
+        trial_servers, earlier_servers = self.judged_servers
+        scores = " ".join(f"{score:.2f}" for score in self.bin_scores) or "none"
+        parts = [
+            f"{(self.now - self.stage_began_at) / 1000:.1f} s into the stage",
+            f"{trial_servers} servers on trial and {earlier_servers} earlier",
+            f"scores {scores} with {self.compared_pairs} pairs in this bin",
+            *(self._pool_text(name, span) for name, span in self.pools),
+        ]
+        return "; ".join(parts)
+
+    def _pool_text(self, name: str, span: int) -> str:
+        """Return a pool for the log, the trial's figures before those of earlier builds.
+
+        They are the errors of the outcomes by class and in all, and the mean log latency over the usual one.
+        """
+        rows, (trial_n, trial_sum, earlier_n, earlier_sum, *_) = self._totals(name, span)
+        counts = (f"{errors:.0f}/{n:.0f} {old_errors:.0f}/{old_n:.0f}" for n, errors, old_n, old_errors in rows)
+        return (
+            f"{name} over {span * BIN_MS / 1000:.0f} s: errors {', '.join(counts)}, "
+            f"log level {trial_sum / max(trial_n, 1.0):.2f} of {trial_n:.0f} "
+            f"{earlier_sum / max(earlier_n, 1.0):.2f} of {earlier_n:.0f}"
+        )
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import re
 from collections.abc import Callable
 
 import pytest
@@ -199,6 +200,21 @@
     assert votes and votes[0] == it.CastVote(2, 0, it.Verdict.ON)
 
 
+@pytest.mark.parametrize(("calls_per_s", "text"), [(100.0, "vote ON on"), (0.0, "no vote ON by the draw on")])
+def test_the_log_of_a_vote_names_its_evidence_even_where_the_draw_suppresses_it(
+    calls_per_s: float, text: str
+) -> None:
+    """Whose vote took a bad build to its second stage, and on what, could not be told from the logs."""
+    driver = offered(config=settings(rollout={"calls_per_s": calls_per_s}))
+    votes = play(driver, good, 15.0)
+    logs = [action.text for action in driver.actions if isinstance(action, it.Log)]
+    assert len(votes) == sum(": vote " in log for log in logs) and bool(votes) is (calls_per_s > 0)
+    evidence = (
+        r"[\d.]+ s into the stage; 1 servers on trial and 8 earlier; scores [\d. ]+ with \d+ pairs .*own over 20 s"
+    )
+    assert re.match(rf"build 2 stage 0: {text} mean [\d.]+; {evidence}: errors 0/\d+ 0/\d+, .*log level ", logs[0])
+
+
 def test_malformed_peer_messages_are_ignored() -> None:
     driver = AgentDriver(settings(agents=2, limits={"peers": True}))
     for data in (b"", b"hello", bytes(256)):
