--- a/otterquay/lab/mass/scenario.py
+++ b/otterquay/lab/mass/scenario.py
@@ -28,8 +28,9 @@
     """Release of build 2.
 
     It is offered at `offered_at` and advances one stage every `stage_interval_ms`, until it is released or, at
-    `rollback_at`, rolled back. Its servers fail a share `error_share` of their attempts. A replaced server is
-    listed as draining for `drain_ms` before it stops.
+    `rollback_at`, rolled back. Its servers fail a share `error_share` of their attempts, from `fails_after_ms`
+    after their start on and while at least `fails_over_busy` of their cores are busy. A replaced server is listed
+    as draining for `drain_ms` before it stops.
     """
 
     offered_at: float = 2000.0
@@ -37,6 +38,8 @@
     rollback_at: float | None = None
     error_share: float = 0.0
     drain_ms: float = 1500.0
+    fails_after_ms: float = 0.0
+    fails_over_busy: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterquay/lab/mass/servers.py
+++ b/otterquay/lab/mass/servers.py
@@ -24,7 +24,9 @@
     incarnation: int = 1
     listed_incarnation: int = 1
     started: float = -1e9
-    error_share: float = 0.0  # share of attempts that fail
+    error_share: float = 0.0  # share of attempts that fail while the server fails
+    fails_after_ms: float = 0.0  # time after its start from which it fails
+    fails_over_busy: float = 0.0  # share of busy cores from which it fails
     busy_cores: int = 0
     queue: deque[FinishAttempt] = field(default_factory=deque)
     in_progress: dict[FinishAttempt, None] = field(default_factory=dict)  # queued or running, by order of arrival
@@ -36,6 +38,11 @@
         start_share, cold = rules.start_capacity, max(rules.cold_ms, 1.0)
         return start_share + (1 - start_share) * min(1.0, max(0.0, (at - self.started) / cold))
 
+    def failing_share(self, at: float) -> float:
+        """Share of the attempts that fail at a time, by the server's age and load."""
+        fails = at - self.started >= self.fails_after_ms and self.busy_cores >= self.fails_over_busy * CORES
+        return self.error_share if fails else 0.0
+
     def enqueue(self, finish: FinishAttempt) -> bool:
         """Queue an attempt; False when the queue is full."""
         if len(self.queue) >= MAX_QUEUED:
@@ -57,9 +64,10 @@
         def complete(finish: FinishAttempt, incarnation: int) -> None:
             if incarnation != self.incarnation:
                 return
+            error_share = self.failing_share(now())
             self.busy_cores -= 1
             self.in_progress.pop(finish, None)
-            finish(it.Status.ERROR if self.error_share and rng.random() < self.error_share else it.Status.OK)
+            finish(it.Status.ERROR if error_share and rng.random() < error_share else it.Status.OK)
             self.start_work(now, call_later, rules, work_ms, rng)
 
         while self.queue and self.busy_cores < CORES:
--- a/otterquay/lab/mass/simulation.py
+++ b/otterquay/lab/mass/simulation.py
@@ -138,6 +138,11 @@
                 case it.Cancel(request, attempt):
                     if end := self.attempts_in_flight[i].get((request, attempt)):
                         end(it.Status.CANCELLED)
+                case _:
+                    self.handle_other(i, action)
+
+    def handle_other(self, i: int, action: it.Action) -> None:
+        """Carry out an action that is no part of requests and timers; here votes, messages and logs are dropped."""
 
     def _timer(self, i: int, incarnation: int, token: int) -> Callable[[], None]:
         return lambda: self.deliver(i, it.TimerFired(token)) if incarnation == self.incarnations[i] else None
@@ -306,10 +311,15 @@
     def _start_replacements(self, plan: Release, servers: list[Server], build: int) -> None:
         for server in servers:
             server.entry = replace(server.entry, state=it.ServerState.READY, build=build)
-            server.error_share = plan.error_share if build == 2 else 0.0
+            self.set_failures(server, plan)
             self.restart_cold(server)
         self.update_list(servers)
 
+    def set_failures(self, server: Server, plan: Release) -> None:
+        """Make a server fail as its build does."""
+        server.error_share = plan.error_share if server.entry.build == 2 else 0.0
+        server.fails_after_ms, server.fails_over_busy = plan.fails_after_ms, plan.fails_over_busy
+
     def _check_cold_load(self, server: Server, informed_sender: bool) -> None:
         """Check rule 4, the load on a cold server.
 
