--- a/tests/crossings/forcing.py
+++ b/tests/crossings/forcing.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import select
+import selectors
 import socket
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
@@ -20,12 +21,51 @@
 from tests.noderig import Rig, served
 
 Work = Callable[[], Coroutine[Any, Any, None]]
+SETTLE_S = 0.001  # real time without input after which no byte is under way on the loopback interface
+
+
+class StepClockLoop(asyncio.SelectorEventLoop):
+    """An event loop on a clock of its own: it stands while there is work, then moves to the next timer.
+
+    What happens in a second of this clock does not depend on the speed of the machine.
+    """
+
+    def __init__(self) -> None:
+        self._clock_s = 1000.0
+        super().__init__(StepClockSelector(self))
+
+    def time(self) -> float:
+        """Seconds on the loop's own clock."""
+        return self._clock_s
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward."""
+        self._clock_s += seconds
+
+
+class StepClockSelector(selectors.DefaultSelector):
+    """Moves the clock of its loop instead of waiting for a timer."""
+
+    def __init__(self, loop: StepClockLoop) -> None:
+        super().__init__()
+        self._loop = loop
+
+    def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
+        """Return the input that is there; without any, move the clock by the timeout."""
+        if not timeout:
+            return super().select(timeout)
+        if not (ready := super().select(SETTLE_S)):
+            self._loop.advance(timeout)
+        return ready
+
+
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
+STEP_CLOCK = "step clock"
 
 
 def run(work: Work, loop: str = "uvloop") -> None:
     """Run a test on the event loop that the agent uses in service, or on another one by name."""
-    with asyncio.Runner(loop_factory=LOOPS[loop]) as runner:
+    with asyncio.Runner(loop_factory=StepClockLoop if loop == STEP_CLOCK else LOOPS[loop]) as runner:
         runner.run(work())
 
 
--- a/tests/crossings/test_cold.py
+++ b/tests/crossings/test_cold.py
@@ -9,16 +9,21 @@
 
 from otterquay import interface as it
 from otterquay.policy.agent import Agent
-from tests.crossings.forcing import run
+from tests.crossings.forcing import STEP_CLOCK, run
 from tests.crossings.wiretape import RespTape, broken
 from tests.noderig import SETTINGS, Appliance, Rig, answer, answer_at_once
 
 COLD = {"coldMs": 3000.0, "startCapacity": 0.4, "fallMultiple": 3.0, "fallMs": 500.0}
 WORK_S = 0.01
+REQUEST_INTERVAL_S = 0.002
 
 
 async def day(rig: Rig) -> RespTape:
-    """Three servers in steady use; one restarts cold and the others refuse everything, so traffic moves to it."""
+    """Three servers in steady use; one restarts cold and the others refuse everything, so traffic moves to it.
+
+    Requests come at an even rate of the loop's clock: on a step clock the traffic before and after the restart is
+    the same, whatever else the machine does.
+    """
     tape, loop, served = RespTape(rig, WORK_S), asyncio.get_running_loop(), list[float]()
 
     def got(one: Appliance, writer: asyncio.StreamWriter, words: list[bytes]) -> None:
@@ -42,10 +47,10 @@
             writer.write(rig.encode_request(id=id))
             assert await answer(reader)
             served.append(loop.time())
-            await asyncio.sleep(0)
+            await asyncio.sleep(REQUEST_INTERVAL_S)
 
     await use(200, 3 * COLD["fallMs"] / 1e3)
-    span_s = COLD["fallMs"] / 1e3  # capacity: the most served in any such span, on this machine
+    span_s = COLD["fallMs"] / 1e3  # capacity: the most served in any such span
     max_served = max(bisect_right(served, at + span_s) - i for i, at in enumerate(served))
     rig.discovery.set("s-0", startedAtMs=rig.wall() * 1e3)
     tape.started(rig.appliances[0], max_served / span_s * WORK_S / len(rig.appliances))
@@ -73,4 +78,4 @@
             assert report.checked["cold"] == 1 and list(broken(report)) == ([] if guarded else ["cold"])
             assert len(rig.appliances[0].got) > 10, "the cold server still got requests"
 
-    run(work)
+    run(work, STEP_CLOCK)
