Planned end: the listener stays for the whole time of a drain

Its client had written it to a connection that the agent was closing, sent it once more on a new one, as the protocol has it, and found no listener.

Cause: the process ended 0.1 s after the last open or close of a connection. A client that sees the close later, over a slow link or because it stood still, comes later; nothing bounds that but the deadline of its request.

Mend: the drain of the platform's agent lasts 0.5 s and the longest deadline (counted as 3 s where longer) though nothing is open any more. Connections close as early as before.

Why it works: what crosses a close at the drain's beginning finds its listener for as long as its deadline lasts, and the time left to SIGKILL (0.2 s with nothing open) is for the end itself.

Cost: each planned end takes its whole time, about 3.6 s in place of 0.7 s with deadlines of 3 s or more, so a roll of a fleet takes that much longer a step.

The test forces the order on a clock of its own: the second attempt comes 2.5, 1.0 and 0.05 s before the end of the drain. It failed before in all three cases (ConnectionRefusedError), run on the code as found.

--- a/otterquay/agent/lifecycle.py
+++ b/otterquay/agent/lifecycle.py
@@ -47,6 +47,7 @@
     """Start, graceful shutdown and close of the runtime."""
 
     settle_s = 0.0  # time for the last answers of a drain to be sent
+    drains_full_time = False  # whether a drain lasts until `drain_until` although nothing is open any more
     ports: Ports
     settings: it.Settings
     pool: Pool
@@ -113,7 +114,8 @@
 
     def _drained(self) -> bool:
         return (
-            not any(open_request.client for open_request in self.open_requests.values())
+            not self.drains_full_time
+            and not any(open_request.client for open_request in self.open_requests.values())
             and self.ports.front.drained()
         )
 
--- a/otterquay/node/agent.py
+++ b/otterquay/node/agent.py
@@ -48,6 +48,9 @@
     """The runtime on the platform's sockets. `wall` returns Unix time in seconds."""
 
     settle_s = FLUSH_S
+    # A client sends a request that crossed the close of its connection once more, on a new one and until the
+    # request's deadline; only this agent's listener is there for it.
+    drains_full_time = True
 
     def __init__(
         self,
@@ -105,7 +108,10 @@
         self.platform.set_address(config.platform)
 
     async def shut_down(self) -> None:
-        """Shut down before SIGKILL is due: accept requests for LINGER_S, then drain those that are still open."""
+        """Shut down before SIGKILL is due: accept requests for LINGER_S, then drain those that are still open.
+
+        The listener stays for `shutdown_time_s`, also when nothing is open any more.
+        """
         remaining_s = shutdown_time_s(self.settings)
         self.drain_until = self._now() + remaining_s
         self.log.info("agent_leaving", held=len(self.open_requests), within_s=remaining_s)
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -16,6 +16,7 @@
 from otterquay.node.front import QUIET_PERIOD_S
 from tests.crossings.forcing import (
     LOOPS,
+    STEP_CLOCK,
     front_clock_at,
     hold_requests,
     open_idle_connections,
@@ -201,6 +202,25 @@
     run(work)
 
 
+@pytest.mark.parametrize("before_end_s", [2.5, 1.0, 0.05])
+def test_a_request_that_crossed_a_close_finds_its_agent_as_long_as_a_drain_may_last(before_end_s: float) -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            reader, writer = await rig.connect()
+            writer.write(rig.encode_request(id="one"))
+            assert await answer(reader) == b"for one"
+            await asyncio.sleep(QUIET_PERIOD_S)
+            leaving = asyncio.ensure_future(rig.node.shut_down())
+            assert await answer(reader) == b"", "closed by the drain"
+            await asyncio.sleep(rig.node.drain_until - before_end_s - asyncio.get_running_loop().time())
+            assert await rig.exchange(rig.encode_request(id="again", d=2000)) == b"for again"
+            await leaving
+            assert asyncio.get_running_loop().time() <= rig.node.drain_until + FLUSH_S + 2 * DRAIN_POLL_S
+            assert rig.node.counts["served"] == 2 and not rig.node.front.clients
+
+    run(work, STEP_CLOCK)
+
+
 def test_an_idle_connection_with_an_unread_request_is_not_closed_by_a_drain() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
