Evidence: an error of the trial is told at the end of its bin, not up to 2 s later

A note to the evaluators waited for eight outcomes or 2 s, whatever it held, and most agents of a fleet send few requests.

A note that holds an error of the trial no longer waits. At most one note a bin and agent, as before; what the breaker asks as proof is unchanged. Outcomes of other agents still wait, so a share of errors is taken for too high for a moment.

Run: tests/test_votes.py and tests/test_tapes.py.

--- a/otterquay/policy/evidence.py
+++ b/otterquay/policy/evidence.py
@@ -131,7 +131,10 @@
     def _share_evidence(self) -> None:
         """Send the evidence on the newest build to the evaluators, each piece once."""
         self.unsent_row = [x + y for x, y in zip(self.unsent_row, self.own_row, strict=True)]
-        if sum(self.unsent_row[: 4 * self.class_count : 2]) < MIN_NOTE_OUTCOMES and self.now < self.next_note_at:
+        few_outcomes = sum(self.unsent_row[: 4 * self.class_count : 2]) < MIN_NOTE_OUTCOMES
+        # Errors of the trial do not wait: the evaluators would vote on meanwhile.
+        has_trial_errors = any(self.unsent_row[1 : 4 * self.class_count : 4])
+        if few_outcomes and not has_trial_errors and self.now < self.next_note_at:
             return
         note = NOTE_HEADER.pack(1, self.stage_news.build, self.class_count) + struct.pack(
             f"<{len(self.unsent_row)}f", *self.unsent_row
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -215,6 +215,18 @@
     assert re.match(rf"build 2 stage 0: {text} mean [\d.]+; {evidence}: errors 0/\d+ 0/\d+, .*log level ", logs[0])
 
 
+@pytest.mark.parametrize(("status", "told"), [(it.Status.OK, 0), (it.Status.ERROR, 1)])
+def test_an_error_of_the_trial_is_told_at_the_end_of_its_bin(status: it.Status, told: int) -> None:
+    """A quiet agent's errors came to the evaluators up to 2 s late, and they voted a failing build on meanwhile."""
+    driver = offered(config=settings(agents=2, limits={"peers": True}))
+    driver.update_list(*[entry(i, state=it.ServerState.GONE) for i in range(1, 9)])
+    driver.tick(500.0)
+    driver.tick(50.0)
+    (send,) = sends(driver.ask()[1])
+    driver.end(send, status, over=True)
+    assert send.server == 20 and sum(isinstance(a, it.TellPeers) for a in driver.tick(500.0)) == told
+
+
 def test_malformed_peer_messages_are_ignored() -> None:
     driver = AgentDriver(settings(agents=2, limits={"peers": True}))
     for data in (b"", b"hello", bytes(256)):
