--- a/benchmarks/chat.py
+++ b/benchmarks/chat.py
@@ -21,7 +21,7 @@
 from typing import Any
 
 import click
-from relay import cpu_of, memory_of, quantile, run_open_loop, spawn
+from relay import cpu_of, memory_of, quantile, run_open_loop, spawn, wait_until_served
 
 from otterquay.chat.gateway import WebSocket, dial
 
@@ -78,8 +78,10 @@
     end, waits_ms = time.perf_counter() + seconds, list[float]()
 
     async def run_client(client: Client) -> None:
-        while time.perf_counter() < end:
+        while True:  # once at least
             waits_ms.append(await client.command("/lobby"))
+            if time.perf_counter() >= end:
+                return
             if pause_s:
                 await asyncio.sleep(pause_s)
 
@@ -146,10 +148,10 @@
         )
         http_address, chat_address = ready_line.split()[1:3]
         try:
-            await asyncio.sleep(1.0)
+            await wait_until_served(http_address)
             clients = [Client(chat_address, i) for i in range(32)]
             await asyncio.gather(*(c.connect() for c in clients))
-            await run_commands(clients, 1.0, 0.0)
+            await run_commands(clients, min(1.0, seconds), 0.0)
             cpu_before = cpu_of(agent.pid)
             saturated_ms = await run_commands(clients, seconds, 0.0)
             cpu_s = (cpu_of(agent.pid) - cpu_before) / len(saturated_ms)
--- a/benchmarks/overload.py
+++ b/benchmarks/overload.py
@@ -1,6 +1,6 @@
 """Cost of a refused request in the agent, compared with a served one, as the fleet and the load grow.
 
-    python benchmarks/overload.py [--seconds 3] [--out FILE]
+    python benchmarks/overload.py [--seconds 3] [--settle 2.5] [--servers 12,48,200] [--loads 0.5,1,10] [--out FILE]
 
 The first table compares two phases of the same servers on the same agent process, one after the other: on trial
 under a small cap, where nearly all requests are refused, and released, where all are served. The second table
@@ -20,7 +20,7 @@
 
 import click
 import msgspec
-from relay import CONNECTIONS, REQUEST_BYTES, cpu_of, spawn
+from relay import CONNECTIONS, REQUEST_BYTES, cpu_of, ratio, spawn, wait_until_served
 
 from otterquay.protocol import news
 from otterquay.protocol.http import HttpRequest, write_response
@@ -140,32 +140,34 @@
         "--log-level",
         "error",
     )
-    await asyncio.sleep(1.0)
-    return standins, agent, ready_line.split()[1]
+    address = ready_line.split()[1]
+    await wait_until_served(address)
+    return standins, agent, address
 
 
-async def measure(seconds: float) -> dict[str, Any]:
-    """Measure both tables."""
+async def measure(seconds: float, settle_s: float, fleet_sizes: list[int], loads: list[float]) -> dict[str, Any]:
+    """Measure both tables; `settle_s` lets the window of a phase before expire."""
     refusal_rows, load_rows = [], []
-    for servers in (12, 48, 200):
+    for servers in fleet_sizes:
         standins, agent, address = await start_world(0.0, servers)
         row: dict[str, Any] = {"servers": servers}
         for phase in ("released", "trial"):
             standins.stdin.write(phase.encode() + b"\n")
-            await asyncio.sleep(0.5)
-            await offer_load(address, 300, 2.5)  # until the window of the previous phase has expired
+            await asyncio.sleep(min(0.5, settle_s))
+            await offer_load(address, 300, settle_s)
             cpu_before = cpu_of(agent.pid)
             counts = await offer_load(address, 1000, seconds)
-            row[phase] = {**counts, "cpu_us": round((cpu_of(agent.pid) - cpu_before) / sum(counts.values()) * 1e6)}
-        row["refused_to_served"] = round(row["trial"]["cpu_us"] / row["released"]["cpu_us"], 2)
+            cpu_s = (cpu_of(agent.pid) - cpu_before) / max(sum(counts.values()), 1)
+            row[phase] = {**counts, "cpu_us": round(cpu_s * 1e6)}
+        row["refused_to_served"] = ratio(row["trial"]["cpu_us"], row["released"]["cpu_us"])
         refusal_rows.append(row)
         for process in (agent, standins):
             process.kill()
             await process.wait()
     capacity_per_s = MACHINES * CORES / SERVICE_S
     standins, agent, address = await start_world(SERVICE_S, MACHINES)
-    for load_factor in (0.5, 1, 2, 3, 5, 10):
-        await asyncio.sleep(2.0)
+    for load_factor in loads:
+        await asyncio.sleep(min(2.0, settle_s))
         cpu_before = cpu_of(agent.pid)
         counts = await offer_load(address, capacity_per_s * load_factor, seconds)
         load_rows.append(
@@ -184,15 +186,20 @@
 
 @click.command()
 @click.option("--seconds", default=3.0)
+@click.option("--settle", default=2.5, help="Seconds between phases, for what the agent remembers of the last one.")
+@click.option("--servers", default="12,48,200", help="Fleet sizes of the first table.")
+@click.option("--loads", default="0.5,1,2,3,5,10", help="Multiples of the capacity in the second table.")
 @click.option("--out", type=click.Path(path_type=Path))
 @click.option("--world", "as_world", hidden=True)
-def main(seconds: float, out: Path | None, as_world: str | None) -> None:
+def main(seconds: float, settle: float, servers: str, loads: str, out: Path | None, as_world: str | None) -> None:
     """Measure and print one JSON object."""
     if as_world:
-        service_s, servers = as_world.split(",")
-        asyncio.run(serve_world(float(service_s), int(servers)))
+        service_s, server_count = as_world.split(",")
+        asyncio.run(serve_world(float(service_s), int(server_count)))
         return
-    text = json.dumps(asyncio.run(measure(seconds)), indent=1)
+    fleet_sizes = [int(size) for size in servers.split(",")]
+    load_factors = [float(load) for load in loads.split(",")]
+    text = json.dumps(asyncio.run(measure(seconds, settle, fleet_sizes, load_factors)), indent=1)
     print(text)
     if out:
         out.write_text(text + "\n")
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -37,6 +37,8 @@
 
 ROOT = Path(__file__).parent.parent
 SERVER_COUNT, CONNECTIONS = 8, 32
+START_TIMEOUT_S = 30.0
+CODEC_ROUNDS_PER_S = 5000  # of the run's length
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 REQUEST_BYTES = write_request(
     b"POST",
@@ -109,7 +111,7 @@
                     *(h for h in request.headers.items() if h[0] not in unforwarded),
                 ]
                 payload = write_request(request.method, request.target, headers, request.body)
-                pool.call(target, b"", payload, loop.time() + 5, send_answer)
+                pool.call(target, b"", lambda payload=payload: payload, loop.time() + 5, send_answer)
         writer.close()
 
     server = await asyncio.start_server(handle_client, "127.0.0.1", 0)
@@ -127,21 +129,35 @@
 
 
 # --- load ---
+async def wait_until_served(address: str) -> None:
+    """Return once a request has a 200 answer; TimeoutError after START_TIMEOUT_S."""
+    host, port = address.split(":")
+    async with asyncio.timeout(START_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(REQUEST_BYTES)
+        while not (await reader.read(65536)).startswith(b"HTTP/1.1 200"):
+            await asyncio.sleep(0.02)
+            writer.write(REQUEST_BYTES)
+    writer.close()
+
+
 async def run_closed_loop(address: str, seconds: float) -> int:
     """Return the number of 200 answers to CONNECTIONS clients that each send one request at a time."""
     host, port = address.split(":")
+    connections = [await asyncio.open_connection(host, int(port)) for _ in range(CONNECTIONS)]
     end, served = time.perf_counter() + seconds, 0
 
-    async def run_client() -> None:
+    async def run_client(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         nonlocal served
-        reader, writer = await asyncio.open_connection(host, int(port))
-        while time.perf_counter() < end:
+        while True:  # once at least
             writer.write(REQUEST_BYTES)
             data = await reader.read(65536)
             served += data.startswith(b"HTTP/1.1 200")
+            if time.perf_counter() >= end:
+                break
         writer.close()
 
-    await asyncio.gather(*(run_client() for _ in range(CONNECTIONS)))
+    await asyncio.gather(*(run_client(*connection) for connection in connections))
     return served
 
 
@@ -176,7 +192,12 @@
     return values[min(len(values) - 1, int(q * len(values)))]
 
 
-def codec_us(rounds: int = 20000) -> float:
+def ratio(value: float, base: float) -> float | None:
+    """Return a ratio; None if the base was too small for the clock that measured it."""
+    return round(value / base, 3) if base else None
+
+
+def codec_us(rounds: int) -> float:
     """Return the microseconds of decoding and encoding the request and the answer of one exchange."""
     begin = time.process_time()
     for _ in range(rounds):
@@ -222,8 +243,9 @@
 async def module_us(fleet: str, desk: str, seconds: float) -> float:
     """Return the microseconds per request that the decision module takes in an agent under load."""
     agent, ready_line = await spawn(__file__, "--timed", f"{fleet},{desk}")
-    await asyncio.sleep(0.5)
-    await run_closed_loop(ready_line.split()[1], seconds)
+    address = ready_line.split()[1]
+    await wait_until_served(address)
+    await run_closed_loop(address, seconds)
     agent.terminate()
     assert agent.stdout
     cost_us = float(await agent.stdout.readline())
@@ -257,7 +279,6 @@
         loop,
     )
     agent_address = ready_line.split()[1]
-    await asyncio.sleep(1.0)
     proxies: dict[str, tuple[str, int | None]] = {
         "direct": (targets[0], None),
         "relay": (relay_address, relay.pid),
@@ -265,6 +286,8 @@
     }
     runs: dict[str, list[tuple[float, float]]] = {name: [] for name in proxies}
     try:
+        for address, _pid in proxies.values():
+            await wait_until_served(address)
         idle_bytes = {}
         for name in ("relay", "agent"):
             address, pid = proxies[name]
@@ -277,7 +300,7 @@
             for _, writer in connections:
                 writer.close()
         for address, _pid in proxies.values():
-            await run_closed_loop(address, 0.5)
+            await run_closed_loop(address, min(0.5, seconds))
         for _ in range(rounds):  # alternating, so that a temporarily busy machine affects all proxies alike
             for name, (address, pid) in proxies.items():
                 cpu_before = cpu_of(pid) if pid else 0.0
@@ -298,15 +321,15 @@
             n: [round(min(r for r, _ in v)), round(max(r for r, _ in v))] for n, v in runs.items()
         },
         "cpu_us_per_request": {n: round(m[1]) for n, m in medians.items() if n != "direct"},
-        "codec_us": round(codec_us(), 1),
+        "codec_us": round(codec_us(max(round(seconds * CODEC_ROUNDS_PER_S), 1)), 1),
         "module_us": round(module_cost_us, 1),
         "latency_ms_at_rate": round(rate),
         "latency_ms": {
             n: {f"p{q * 100:g}": round(quantile(v, q), 2) for q in (0.5, 0.99, 0.999)} for n, v in latency.items()
         },
         "idle_connection_bytes": {n: round(v) for n, v in idle_bytes.items()},
-        "agent_to_relay_throughput": round(medians["agent"][0] / medians["relay"][0], 3),
-        "shell_to_relay_cpu": round((medians["agent"][1] - module_cost_us) / medians["relay"][1], 3),
+        "agent_to_relay_throughput": ratio(medians["agent"][0], medians["relay"][0]),
+        "shell_to_relay_cpu": ratio(medians["agent"][1] - module_cost_us, medians["relay"][1]),
     }
 
 
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -1,6 +1,6 @@
 """The store compared with sqlite3 (WAL, synchronous FULL) and lmdb on the same work, in one run on one disk.
 
-    python benchmarks/store.py [--writes 2000] [--keys 1000 100000 1000000] [--rounds 3] [--out FILE]
+    python benchmarks/store.py [--writes 2000] [--keys 1000 --keys 100000] [--rounds 3] [--out FILE]
 
 Measures synced commits of 1, 16 and 256 concurrent writers (for sqlite3 and lmdb as many rows in one transaction,
 which favours them most); random reads, a full scan and opening, by number of keys; and overwriting with concurrent
@@ -236,7 +236,7 @@
     return results
 
 
-def measure_loop_gaps(scratch: Path) -> dict[str, Any]:
+def measure_loop_gaps(scratch: Path, seconds: float) -> dict[str, Any]:
     """Measure how long other work of the event loop waits while 16 writers commit and compaction runs."""
     results = {}
     for name, background_sync in (("store", False), ("store, synced aside", True)):
@@ -252,7 +252,7 @@
 
             tasks = [asyncio.create_task(write()) for _ in range(16)]
             previous = time.perf_counter()
-            until = previous + 4
+            until = previous + seconds
             while previous < until:
                 await asyncio.sleep(0)
                 now = time.perf_counter()
@@ -276,16 +276,27 @@
 @click.option("--writes", default=2000)
 @click.option("--keys", multiple=True, type=int, default=(1000, 100_000, 1_000_000))
 @click.option("--rounds", default=3)
+@click.option("--overwritten", default=50_000, help="Keys that are written over.")
+@click.option("--commits", default=8000, help="Commits of 16 rows that write over them.")
+@click.option("--seconds", default=4.0, help="Time in which the turns of the loop are timed.")
 @click.option("--out", type=click.Path(path_type=Path))
-def main(writes: int, keys: tuple[int, ...], rounds: int, out: Path | None) -> None:
+def main(
+    writes: int,
+    keys: tuple[int, ...],
+    rounds: int,
+    overwritten: int,
+    commits: int,
+    seconds: float,
+    out: Path | None,
+) -> None:
     """Measure and print one JSON object."""
     with tempfile.TemporaryDirectory(dir=os.environ.get("OTTERQUAY_SCRATCH")) as scratch:
         scratch_folder = Path(scratch)
         results = {
             "synced": measure_commits(writes, rounds, scratch_folder),
             "by_size": {str(n): measure_size(n, scratch_folder) for n in keys},
-            "overwriting 50,000 keys": measure_overwriting(50_000, 8000, scratch_folder),
-            "turns of the loop": measure_loop_gaps(scratch_folder),
+            f"overwriting {overwritten:,} keys": measure_overwriting(overwritten, commits, scratch_folder),
+            "turns of the loop": measure_loop_gaps(scratch_folder, seconds),
             "most_memory_mb": round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024),
         }
     text = json.dumps(results, indent=1)
