Agent store: news of a build removes no record of a later build's answer

With one-way releases, a key that build 3 had answered could go back to build 2 after a restart: the store had lost its record. Found by reading and forced in a test, not seen in service.

Cause: when a build is announced or goes back, the keys of earlier builds are listed and removed. The list shows synced records: a key with a synced record of build 2 and one of build 3 that waits for the disk was listed under 2, and its removal written after the record of build 3. Such a key is now judged by the record that waits.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -141,7 +141,11 @@
             return
         try:
             batch = list(islice(self._store.scan(ANSWERED, first), CLEAR_BATCH_KEYS))
-            deletes = [Delete(ANSWERED, key) for key, value in batch if int(value) <= build]
+            deletes = [
+                Delete(ANSWERED, key)
+                for key, value in batch
+                if self._unwritten_answers.get(key, int(value)) <= build
+            ]
         except (OSError, StoreCorrupted, ValueError) as error:  # the keys stay, and forbid until a later build
             self._log.warning("answered_keys_not_cleared", reason=f"{type(error).__name__}: {error}")
             return
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -14,6 +14,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 from rig import service
 
 from otterquay import interface as it
@@ -399,6 +401,46 @@
     run(work())
 
 
+STEPS = st.lists(
+    st.tuples(st.just("answered"), st.integers(1, 2), st.integers(1, 4))
+    | st.tuples(st.sampled_from(("trial", "going_back")), st.integers(1, 4), st.none())
+    | st.tuples(st.just("wait"), st.sampled_from((10, SYNC_MS, 900)), st.none())
+    | st.tuples(st.just("restart"), st.none(), st.none()),
+    max_size=12,
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(STEPS)
+@example([("answered", 7, 2), ("wait", 900, None), ("answered", 7, 3), ("trial", 3, None)])
+def test_news_of_a_build_releases_no_key_that_a_later_build_answered(steps: list[tuple[str, int, int]]) -> None:
+    """Guards against removing the record of an earlier build over the later build's, which waits for the disk."""
+
+    async def work() -> None:
+        processes, newest, answered = Processes(slow_disk(SYNC_MS)), 0, dict[int, int]()
+        await processes.start()
+        for step, number, build in steps:
+            if step == "answered" and build >= newest:
+                answered[number] = max(answered.get(number, 0), build)
+            if step == "answered":
+                processes.state.answered(number, build, True)
+            elif step == "wait":
+                await sleep_ms(number)
+            elif step == "restart":
+                await processes.restart()
+            else:
+                phase = it.Phase[step.upper()]
+                processes.state.stage(it.StageNews(number, 0, phase, False, it.Status.OK, 0.1, 0.0))
+                released = number if phase is it.Phase.GOING_BACK else number - 1 if number > newest else 0
+                answered = {key: by for key, by in answered.items() if by > released}
+                newest = max(newest, number)
+        await processes.restart()
+        stored = {int.from_bytes(key): int(value) for key, value in processes.store.scan("answered")}
+        assert stored == answered
+
+    run(work())
+
+
 @pytest.mark.parametrize("act", ["answer", "stage"])
 def test_a_record_that_cannot_be_read_holds_up_no_request_and_no_news(act: str) -> None:
     """Guards against a read error of the store that reached the code of requests and of stages."""
