Agent store: an unreadable record costs no newer one of its table

After a restart an agent could send more to a build on trial than the rollout allows, or a key to an earlier build than the one that answered it, if one record of the table could not be read. Found by reading and forced in a test, not seen in service.

Cause: a table was read by one scan, which the first unreadable record ended; attempts are in the order of time, so one old record cost those that count longest. A table is now read key by key, and an unreadable record costs itself alone; a list is restored whole or not at all, as before. After 16 unreadable records the rest of a table is left out, as a disk that fails may take seconds for each and must not hold up the start.

The test fails one read at a time of ten.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -19,9 +19,9 @@
 
 import asyncio
 import struct
-from collections.abc import Iterator, Mapping
-from contextlib import contextmanager
+from collections.abc import Callable, Mapping
 from itertools import islice
+from typing import TypeVar
 
 import msgspec
 
@@ -37,6 +37,9 @@
 MAX_ANSWERED_KEYS = 2**18
 CLEAR_BATCH_KEYS = 1024  # keys removed in one turn of the event loop
 ALL_KEYS = (0).to_bytes(8)
+MAX_UNREADABLE_RECORDS = 16  # of a table; the rest is left out, as a failing disk may take seconds for each
+
+T = TypeVar("T")
 
 
 class AgentStateStore:
@@ -56,49 +59,50 @@
     def recall(self, now_ms: float) -> tuple[news.FleetNews | None, list[it.Event]]:
         """Return the stored list and the events that restore the rest.
 
-        What cannot be read is logged and left out; it costs no other table, and what was read before it in its own
-        table still forbids.
+        A record that cannot be read is logged and left out; it costs no other record but those of the list, as
+        servers missing from it would look as if they had left.
         """
-        fleet: news.FleetNews | None = None
+        entries: list[news.Entry] = self._readable(LIST, lambda _, data: msgspec.json.decode(data, type=news.Entry))
+        self._stored_list = {entry.server: entry for entry in entries}
+        is_whole = len(entries) == self._store.tables().get(LIST, 0)
+        fleet = news.FleetNews(0, entries) if entries and is_whole else None
         events: list[it.Event] = []
-        with self._unreadable_left_out():
-            fleet = self._stored_fleet()
-        with self._unreadable_left_out():
-            self._build = int(self._store.get(STAGE, b"") or b"0")
+        self._build = max(self._readable(STAGE, lambda _, value: int(value)), default=0)
         if self._build > 0:
             events.append(
                 it.StageNews(self._build - 1, 0, it.Phase.RELEASED, False, it.Status.OK, 1.0, float("inf"))
             )
-        attempts: list[tuple[int, int, float]] = []
-        with self._unreadable_left_out():
-            attempts.extend(self._stored_attempts(now_ms))
-        answered: list[tuple[int, int]] = []
-        with self._unreadable_left_out():
-            answered.extend((int.from_bytes(key), int(value)) for key, value in self._store.scan(ANSWERED))
+        attempts = self._stored_attempts(now_ms)
+        answered = self._readable(ANSWERED, lambda key, value: (int.from_bytes(key), int(value)))
         self._all_keys_build = dict(answered).get(0, 0)
         if attempts or answered:
             events.append(it.Restored(tuple(attempts), tuple(answered)))
         return fleet, events
 
-    @contextmanager
-    def _unreadable_left_out(self) -> Iterator[None]:
-        """Log what cannot be read and go on: a damaged record must not prevent the start."""
-        try:
-            yield
-        except Exception as error:
-            self._log.warning("recall_failed", reason=f"{type(error).__name__}: {error}")
-
-    def _stored_fleet(self) -> news.FleetNews | None:
-        for key, data in self._store.scan(LIST):
-            self._stored_list[int.from_bytes(key)] = msgspec.json.decode(data, type=news.Entry)
-        return news.FleetNews(0, list(self._stored_list.values())) if self._stored_list else None
-
-    def _stored_attempts(self, now_ms: float) -> Iterator[tuple[int, int, float]]:
+    def _readable(self, table: str, decode: Callable[[bytes, bytes], T]) -> list[T]:
+        """Decode the key and value of each record of a table, without those that cannot be read."""
+        decoded: list[T] = []
+        unreadable: list[str] = []
+        with self._store.view() as view:
+            for key in view.keys(table):
+                try:
+                    decoded.append(decode(key, view.get(table, key) or b""))
+                except Exception as error:  # damage of any kind must not prevent the start
+                    unreadable.append(f"{type(error).__name__}: {error}")
+                    if len(unreadable) == MAX_UNREADABLE_RECORDS:
+                        break
+        if unreadable:
+            self._log.warning("recall_failed", table=table, records=len(unreadable), reason=unreadable[0])
+        return decoded
+
+    def _stored_attempts(self, now_ms: float) -> list[tuple[int, int, float]]:
         shift = now_ms - self._store.now()
-        for key, value in self._store.scan(TRIED):
-            until, build, cls = _TRIED.unpack(key)
-            self._written[key] = int(value)
-            yield from [(build, cls, min(until + shift, now_ms))] * self._written[key]
+        attempts: list[tuple[int, int, float]] = []
+        for key, count in self._readable(TRIED, lambda key, value: (_TRIED.unpack(key), int(value))):
+            until, build, cls = key
+            self._written[_TRIED.pack(until, build, cls)] = count
+            attempts += [(build, cls, min(until + shift, now_ms))] * count
+        return attempts
 
     # --- storing ---
     def list(self, entries: Mapping[int, news.Entry]) -> None:
--- a/otterquay/store/view.py
+++ b/otterquay/store/view.py
@@ -39,6 +39,12 @@
         place = self._store.index.find(table, key, 0, self._undo)
         return None if place is None else self._store.read_value(place)
 
+    def keys(self, table: str, first: bytes = b"", before: bytes | None = None) -> Iterator[bytes]:
+        """Keys from `first` up to but without `before` in order; their records are not read."""
+        for key in self._store.index.keys(table, first, before, self._undo):
+            if self._store.index.find(table, key, 0, self._undo) is not None:
+                yield key
+
     def scan(self, table: str, first: bytes = b"", before: bytes | None = None) -> Iterator[tuple[bytes, bytes]]:
         """Keys from `first` up to but without `before` in order, with their values."""
         for key in self._store.index.keys(table, first, before, self._undo):
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -20,10 +20,11 @@
 
 from otterquay import interface as it
 from otterquay.agent.http_agent import HttpAgent
-from otterquay.agent.state_store import BIN_MS, AgentStateStore
+from otterquay.agent.state_store import BIN_MS, MAX_UNREADABLE_RECORDS, AgentStateStore
 from otterquay.lab.disk import FaultDisk
 from otterquay.lab.simloop import simulate
 from otterquay.logs import silent
+from otterquay.protocol.news import Entry
 from otterquay.store import Put, Store, open_store
 
 WINDOW_MS = 4000.0
@@ -338,7 +339,8 @@
 
 # --- damage ---
 @pytest.mark.parametrize(
-    "damaged", [("list", b"\0" * 8), ("stage", b""), ("tried", b"\xff" * 14), ("answered", b"\0" * 8)]
+    "damaged",
+    [("list", b"\0" * 8), ("stage", b""), ("tried", b"\0" * 14), ("tried", b"\xff" * 14), ("answered", b"\0" * 8)],
 )
 def test_a_damaged_record_costs_no_attempt_of_another(damaged: tuple[str, bytes]) -> None:
     """Guards against one unreadable record that left out all that was read after it."""
@@ -354,6 +356,49 @@
     run(work())
 
 
+def test_each_record_that_cannot_be_read_costs_no_other() -> None:
+    """Guards against one unreadable record that left out those after it in its table: the newest attempts."""
+
+    async def work() -> None:
+        processes, reads = Processes(), 0
+        await processes.start()
+        for number in (1, 2, 3):
+            processes.send(build=number)
+            await processes.store.commit([Put("answered", number.to_bytes(8), b"2")])
+        await processes.restart()
+        processes.state.list({n: Entry(n, "a", "ready", 1, "127.0.0.1:1", 1) for n in (1, 2, 3)})
+        await processes.store.commit([Put("stage", b"", b"2")])
+
+        def recalled(unreadable: range) -> set[object]:
+            nonlocal reads
+            reads = 0
+
+            def fail(operation: str, name: str) -> None:
+                nonlocal reads
+                reads += 1
+                if reads - 1 in unreadable:
+                    raise OSError(errno.EIO, "Input/output error")
+
+            processes.disk.fail = fail
+            fleet, events = AgentStateStore(processes.store, WINDOW_MS, silent()).recall(now_ms())
+            restored = [event for event in events if isinstance(event, it.Restored)]
+            stages = [event.build for event in events if isinstance(event, it.StageNews)]
+            kept = [*restored[0].attempts, *restored[0].answered] if restored else []
+            return {*kept, *stages, *(fleet.entries if fleet else ())}
+
+        everything, records = recalled(range(0)), 10
+        assert len(everything) == records == reads
+        servers = 3  # read first; a list that is not whole is not restored
+        for unreadable in range(records):
+            left = recalled(range(unreadable, unreadable + 1))
+            lost = servers if unreadable < servers else 1
+            assert left < everything and len(left) == records - lost, unreadable
+        await processes.store.commit([Put("answered", n.to_bytes(8), b"2") for n in range(1, 100)])
+        assert recalled(range(1000)) == set() and reads == 7 + MAX_UNREADABLE_RECORDS
+
+    run(work())
+
+
 # --- other records that a process begins anew from empty memory ---
 def test_votes_of_two_processes_in_one_millisecond_are_both_kept() -> None:
     """Guards against a vote under the key of one that the process before cast."""
