Chat sessions in the store: the end of a session reads no entry

A chat session whose entries could not be read stayed in the store, and what the hub wanted done in the same step was left out: listing the entries to remove read their values, and the read error reached the loop over the hub's actions.

The keys are listed from the index in memory, without their values. On a disk that fails all reads the test raised OSError on the commit before and passes with this one (pytest tests/test_chat_session_store.py).

--- a/otterquay/chat/session_store.py
+++ b/otterquay/chat/session_store.py
@@ -57,11 +57,11 @@
             case None if action.id:
                 changes = [Delete(ENTRY_TABLE, session_key + action.id.encode())]
             case None:
-                changes = [
-                    Delete(SESSION_TABLE, session_key),
-                    *(
-                        Delete(ENTRY_TABLE, key)
-                        for key, _ in self._store.scan(ENTRY_TABLE, session_key, (action.session + 1).to_bytes(8))
-                    ),
-                ]
+                changes = [Delete(SESSION_TABLE, session_key), *self._entry_removals(action.session)]
         self._store.submit(changes)
+
+    def _entry_removals(self, session: int) -> list[Change]:
+        """The removals of a session's entries; the entries are not read."""
+        with self._store.view() as view:
+            keys = view.keys(ENTRY_TABLE, session.to_bytes(8), (session + 1).to_bytes(8))
+            return [Delete(ENTRY_TABLE, key) for key in keys]
