Chat sessions in the store: a session that ends leaves no entry that waited for the disk

The store kept chat entries that no session owned and nothing removed: the end of a session removes the entries that the store lists, and it lists synced records only, so one that waits for the disk became durable after the removal.

Once the removal is durable, the entries are listed and removed again; all that was written before it is listed by then.

--- a/otterquay/chat/session_store.py
+++ b/otterquay/chat/session_store.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import msgspec
 
 from otterquay.chat.hub import Persist, StoredEntry, StoredSession, StoredSessions
@@ -57,9 +59,20 @@
             case None if action.id:
                 changes = [Delete(ENTRY_TABLE, session_key + action.id.encode())]
             case None:
-                changes = [Delete(SESSION_TABLE, session_key), *self._entry_removals(action.session)]
+                return self._remove(action.session)
         self._store.submit(changes)
 
+    def _remove(self, session: int) -> None:
+        """Remove a session and its entries, also those that wait for the disk and are not listed yet."""
+
+        def remove_late_entries(_: asyncio.Future[None]) -> None:
+            if removals := self._entry_removals(session):
+                self._store.submit(removals)
+
+        changes = [Delete(SESSION_TABLE, session.to_bytes(8)), *self._entry_removals(session)]
+        if removed := self._store.submit(changes):
+            removed.add_done_callback(remove_late_entries)
+
     def _entry_removals(self, session: int) -> list[Change]:
         """The removals of a session's entries; the entries are not read."""
         with self._store.view() as view:
--- a/tests/test_chat_session_store.py
+++ b/tests/test_chat_session_store.py
@@ -43,3 +43,17 @@
         assert store.tables() == {"chat.entry": 1, "x": 1}
 
     simulate(work(), 1)
+
+
+def test_a_session_that_ends_leaves_no_entry_that_waited_for_the_disk() -> None:
+    """Guards against an entry that became durable after the entries to remove were listed, and stayed for ever."""
+
+    async def work() -> None:
+        store, sessions = await store_with_a_session(FaultDisk())
+        sessions.save(Persist(SESSION, "waiting", StoredEntry("text")))
+        sessions.save(REMOVAL)
+        await store.commit([Put("x", b"", b"")])
+        await asyncio.sleep(0.1)
+        assert store.tables() == {"chat.entry": 1, "x": 1}
+
+    simulate(work(), 1)
