Agent store: a start keeps no counts of bins that have ended

After a restart an agent kept a count in memory for each bin of the exposure window, build and class until its next attempt under a cap, where docs/limits.md says one a build and class. No effect on callers. Found by reading.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -96,11 +96,13 @@
         return decoded
 
     def _stored_attempts(self, now_ms: float) -> list[tuple[int, int, float]]:
-        shift = now_ms - self._store.now()
+        store_now = self._store.now()
+        shift = now_ms - store_now
         attempts: list[tuple[int, int, float]] = []
         for key, count in self._readable(TRIED, lambda key, value: (_TRIED.unpack(key), int(value))):
             until, build, cls = key
-            self._written[_TRIED.pack(until, build, cls)] = count
+            if until > store_now:  # the bin has not ended: this process may write it again
+                self._written[_TRIED.pack(until, build, cls)] = count
             attempts += [(build, cls, min(until + shift, now_ms))] * count
         return attempts
 
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -249,6 +249,21 @@
         run(cut(float(offset_ms)))
 
 
+def test_a_restart_keeps_in_memory_no_counts_of_bins_that_have_ended() -> None:
+    """Guards against counts that stay in memory until the next attempt under a cap, which may never come."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        await processes.send_evenly(50.0, 3000.0)
+        await sleep_to_bin(1.0)
+        processes.send(2)
+        await processes.restart()
+        assert list(processes.state._written.values()) == [2]
+
+    run(work())
+
+
 # --- the edges of the window ---
 @pytest.mark.parametrize("offset_ms", [0.0, 0.4, 1.0, 124.7, 249.0, 249.9])
 @pytest.mark.parametrize("age_ms", [0.0, 1.0, BIN_MS, WINDOW_MS - BIN_MS, WINDOW_MS, COUNTED_MS - 0.01])
