--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -14,14 +14,17 @@
 from typing import Any
 
 import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
 from rig import service
 
 from otterquay import interface as it
 from otterquay.agent.http_agent import HttpAgent
-from otterquay.agent.state_store import BIN_MS, AgentStateStore
+from otterquay.agent.state_store import BIN_MS, MAX_UNREADABLE_RECORDS, AgentStateStore
 from otterquay.lab.disk import FaultDisk
 from otterquay.lab.simloop import simulate
 from otterquay.logs import silent
+from otterquay.protocol.news import Entry
 from otterquay.store import Put, Store, open_store
 
 WINDOW_MS = 4000.0
@@ -246,6 +249,21 @@
         run(cut(float(offset_ms)))
 
 
+def test_a_restart_keeps_in_memory_no_counts_of_bins_that_have_ended() -> None:
+    """Guards against counts that stay in memory until the next attempt under a cap, which may never come."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        await processes.send_evenly(50.0, 3000.0)
+        await sleep_to_bin(1.0)
+        processes.send(2)
+        await processes.restart()
+        assert list(processes.state._written.values()) == [2]
+
+    run(work())
+
+
 # --- the edges of the window ---
 @pytest.mark.parametrize("offset_ms", [0.0, 0.4, 1.0, 124.7, 249.0, 249.9])
 @pytest.mark.parametrize("age_ms", [0.0, 1.0, BIN_MS, WINDOW_MS - BIN_MS, WINDOW_MS, COUNTED_MS - 0.01])
@@ -336,7 +354,8 @@
 
 # --- damage ---
 @pytest.mark.parametrize(
-    "damaged", [("list", b"\0" * 8), ("stage", b""), ("tried", b"\xff" * 14), ("answered", b"\0" * 8)]
+    "damaged",
+    [("list", b"\0" * 8), ("stage", b""), ("tried", b"\0" * 14), ("tried", b"\xff" * 14), ("answered", b"\0" * 8)],
 )
 def test_a_damaged_record_costs_no_attempt_of_another(damaged: tuple[str, bytes]) -> None:
     """Guards against one unreadable record that left out all that was read after it."""
@@ -352,6 +371,49 @@
     run(work())
 
 
+def test_each_record_that_cannot_be_read_costs_no_other() -> None:
+    """Guards against one unreadable record that left out those after it in its table: the newest attempts."""
+
+    async def work() -> None:
+        processes, reads = Processes(), 0
+        await processes.start()
+        for number in (1, 2, 3):
+            processes.send(build=number)
+            await processes.store.commit([Put("answered", number.to_bytes(8), b"2")])
+        await processes.restart()
+        processes.state.list({n: Entry(n, "a", "ready", 1, "127.0.0.1:1", 1) for n in (1, 2, 3)})
+        await processes.store.commit([Put("stage", b"", b"2")])
+
+        def recalled(unreadable: range) -> set[object]:
+            nonlocal reads
+            reads = 0
+
+            def fail(operation: str, name: str) -> None:
+                nonlocal reads
+                reads += 1
+                if reads - 1 in unreadable:
+                    raise OSError(errno.EIO, "Input/output error")
+
+            processes.disk.fail = fail
+            fleet, events = AgentStateStore(processes.store, WINDOW_MS, silent()).recall(now_ms())
+            restored = [event for event in events if isinstance(event, it.Restored)]
+            stages = [event.build for event in events if isinstance(event, it.StageNews)]
+            kept = [*restored[0].attempts, *restored[0].answered] if restored else []
+            return {*kept, *stages, *(fleet.entries if fleet else ())}
+
+        everything, records = recalled(range(0)), 10
+        assert len(everything) == records == reads
+        servers = 3  # read first; a list that is not whole is not restored
+        for unreadable in range(records):
+            left = recalled(range(unreadable, unreadable + 1))
+            lost = servers if unreadable < servers else 1
+            assert left < everything and len(left) == records - lost, unreadable
+        await processes.store.commit([Put("answered", n.to_bytes(8), b"2") for n in range(1, 100)])
+        assert recalled(range(1000)) == set() and reads == 7 + MAX_UNREADABLE_RECORDS
+
+    run(work())
+
+
 # --- other records that a process begins anew from empty memory ---
 def test_votes_of_two_processes_in_one_millisecond_are_both_kept() -> None:
     """Guards against a vote under the key of one that the process before cast."""
@@ -399,6 +461,46 @@
     run(work())
 
 
+STEPS = st.lists(
+    st.tuples(st.just("answered"), st.integers(1, 2), st.integers(1, 4))
+    | st.tuples(st.sampled_from(("trial", "going_back")), st.integers(1, 4), st.none())
+    | st.tuples(st.just("wait"), st.sampled_from((10, SYNC_MS, 900)), st.none())
+    | st.tuples(st.just("restart"), st.none(), st.none()),
+    max_size=12,
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(STEPS)
+@example([("answered", 7, 2), ("wait", 900, None), ("answered", 7, 3), ("trial", 3, None)])
+def test_news_of_a_build_releases_no_key_that_a_later_build_answered(steps: list[tuple[str, int, int]]) -> None:
+    """Guards against removing the record of an earlier build over the later build's, which waits for the disk."""
+
+    async def work() -> None:
+        processes, newest, answered = Processes(slow_disk(SYNC_MS)), 0, dict[int, int]()
+        await processes.start()
+        for step, number, build in steps:
+            if step == "answered" and build >= newest:
+                answered[number] = max(answered.get(number, 0), build)
+            if step == "answered":
+                processes.state.answered(number, build, True)
+            elif step == "wait":
+                await sleep_ms(number)
+            elif step == "restart":
+                await processes.restart()
+            else:
+                phase = it.Phase[step.upper()]
+                processes.state.stage(it.StageNews(number, 0, phase, False, it.Status.OK, 0.1, 0.0))
+                released = number if phase is it.Phase.GOING_BACK else number - 1 if number > newest else 0
+                answered = {key: by for key, by in answered.items() if by > released}
+                newest = max(newest, number)
+        await processes.restart()
+        stored = {int.from_bytes(key): int(value) for key, value in processes.store.scan("answered")}
+        assert stored == answered
+
+    run(work())
+
+
 @pytest.mark.parametrize("act", ["answer", "stage"])
 def test_a_record_that_cannot_be_read_holds_up_no_request_and_no_news(act: str) -> None:
     """Guards against a read error of the store that reached the code of requests and of stages."""
