Fleet simulation: a server that starts in the first moment is listed as cold

What callers saw: nothing.

Cause: update_list took a start at 0 ms for "long ago", so every agent of that test held warm servers only.

Mend: a start at 0 ms counts; a server that never started in a run has a start of -1e9 ms, so the two are told apart.

The setting up of its fleet moved to a function that the new test shares.

The new test failed before, run on the code as found.

--- a/otterquay/lab/mass/simulation.py
+++ b/otterquay/lab/mass/simulation.py
@@ -147,7 +147,7 @@
         """Send the current entries of these servers to all agents, to each in order and with its own delay."""
         entries, incarnations = [], {}
         for server in servers:
-            started = CLOCK_OFFSET_MS + server.started if server.started > 0 else 0.0
+            started = CLOCK_OFFSET_MS + server.started if server.started >= 0 else 0.0
             server.entry, server.listed_incarnation = replace(server.entry, started_ms=started), server.incarnation
             entries.append(server.entry)
             incarnations[server.entry.server] = server.incarnation
--- a/tests/test_mass.py
+++ b/tests/test_mass.py
@@ -11,7 +11,7 @@
 
 from otterquay import interface as it
 from otterquay.lab.mass.scenario import Fault, FleetScenario, Release
-from otterquay.lab.mass.simulation import FleetSimulation, simulate_fleet
+from otterquay.lab.mass.simulation import CLOCK_OFFSET_MS, FleetSimulation, simulate_fleet
 from otterquay.policy.agent import Agent
 from tests.helpers import never_drains
 from tests.rig import service
@@ -62,17 +62,25 @@
     assert found.to_cold and found.served > 0.9 * found.asked
 
 
-def test_a_fleet_whose_servers_are_all_cold_is_served_from_its_first_request() -> None:
+def simulation_that_starts_cold() -> FleetSimulation:
     simulation = FleetSimulation(
         FleetScenario(THREE_ZONES, 120, 12, Fault(zone=None), None, 0.3, duration_ms=4000.0), 2
     )
     for server in simulation.servers:
         simulation.restart_cold(server)
     simulation.update_list(simulation.servers)
-    found = simulation.run()
+    return simulation
+
+
+def test_a_fleet_whose_servers_are_all_cold_is_served_from_its_first_request() -> None:
+    found = simulation_that_starts_cold().run()
     assert found.peak_cold_load < 1.0 and found.served > 0.6 * found.asked and found.refused < 0.1 * found.asked
 
 
+def test_a_server_that_starts_in_the_first_moment_of_a_simulation_is_listed_as_cold() -> None:
+    assert all(server.entry.started_ms == CLOCK_OFFSET_MS for server in simulation_that_starts_cold().servers)
+
+
 def test_one_seed_gives_one_run() -> None:
     fleet = FleetScenario(
         THREE_ZONES,
