Agent store: answered keys that wait for the disk count towards the bound

With one-way releases and a slow disk the store kept more answered keys than 2^18, by those answered within a sync: the bound was compared with the index, which has synced records only. No effect on callers. Found by reading.

Records that wait count too; a key that is in both counts twice, so the one record for all keys may come earlier, and only forbids.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -197,7 +197,8 @@
             or self._stored_answer(record_key) >= build
         ):
             return
-        if not capped and self._store.tables().get(ANSWERED, 0) >= MAX_ANSWERED_KEYS:
+        kept = self._store.tables().get(ANSWERED, 0) + len(self._unwritten_answers)
+        if not capped and kept >= MAX_ANSWERED_KEYS:
             record_key, self._all_keys_build = ALL_KEYS, build
         self._write_answer(record_key, build)
         if record_key == ALL_KEYS:  # after the write, so that no key is unprotected in between
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -19,6 +19,7 @@
 from rig import service
 
 from otterquay import interface as it
+from otterquay.agent import state_store
 from otterquay.agent.http_agent import HttpAgent
 from otterquay.agent.state_store import BIN_MS, MAX_UNREADABLE_RECORDS, AgentStateStore
 from otterquay.lab.disk import FaultDisk
@@ -501,6 +502,22 @@
     run(work())
 
 
+def test_answers_that_wait_for_the_disk_count_towards_the_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against more records than `MAX_ANSWERED_KEYS` and one for all keys, by those of one sync."""
+    monkeypatch.setattr(state_store, "MAX_ANSWERED_KEYS", 8)
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        for key in range(1, 21):
+            processes.state.answered(key, 2, False)
+        await processes.restart()
+        keys = [key for key, _ in processes.store.scan("answered")]
+        assert keys[0] == state_store.ALL_KEYS and len(keys) <= 8 + 1
+
+    run(work())
+
+
 @pytest.mark.parametrize("act", ["answer", "stage"])
 def test_a_record_that_cannot_be_read_holds_up_no_request_and_no_news(act: str) -> None:
     """Guards against a read error of the store that reached the code of requests and of stages."""
