RESP stand-ins and the audits of their traffic move into the package

The soak drives processes of the agent between the RESP stand-ins and judges them by the audits that the crossings use. Its program lives in otterquay/lab/soak, so what it needs moves out of tests/:

- tests/noderig.py: appliance, discovery, platform -> standins/resp.py
- tests/crossings/audit.py -> lab/attempt_audit.py
- the half of tests/crossings/wiretape.py that records what feeds told an agent -> standins/feed_tape.py, now with the agent's number

The attempt audit can be told that an appliance stands behind a relay, where a close by the agent may not be seen; nothing passes this yet.

--- a/tests/crossings/audit.py
+++ b/otterquay/lab/attempt_audit.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from otterquay.agent.sockets import peer_closed
-from tests.noderig import Appliance, Behave
+from otterquay.standins.resp import Appliance, Behave
 
 NOT_RUN_PREFIX = b"-BUSY"
 
@@ -23,10 +23,14 @@
     words: list[bytes]
     writer: asyncio.StreamWriter
     answer: bytes | None = None
+    direct: bool = True  # without a relay, so that a close by the agent is seen at once
 
     def in_progress(self) -> bool:
-        """Whether it is unanswered on an open connection."""
-        return self.answer is None and not self.writer.is_closing() and not peer_closed(self.writer.transport)
+        """Whether it is unanswered on an open connection; unknown, hence false, behind a relay."""
+        return self.direct and self.answer is None and self._is_open()
+
+    def _is_open(self) -> bool:
+        return not self.writer.is_closing() and not peer_closed(self.writer.transport)
 
 
 @dataclass(slots=True)
@@ -37,12 +41,15 @@
     tries: dict[bytes, list[ReceivedAttempt]] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
 
-    def watch(self, one: Appliance, behave: Behave) -> None:
-        """Make an appliance behave like this, and check each request that it receives."""
+    def watch(self, one: Appliance, behave: Behave, direct: bool = True) -> None:
+        """Make an appliance behave like this, and check each request that it receives.
+
+        `direct` is whether agents reach it without a relay, which may hide that they closed a connection.
+        """
 
         def watched(place: Appliance, writer: asyncio.StreamWriter, words: list[bytes]) -> None:
             if words[0] in (b"SVC.QUERY", b"SVC.SUBMIT"):
-                self._record_attempt(words, writer)
+                self._record_attempt(words, writer, direct)
             behave(place, writer, words)
 
         one.behave = watched
@@ -55,7 +62,7 @@
         if not writer.is_closing():
             writer.write(answer)
 
-    def _record_attempt(self, words: list[bytes], writer: asyncio.StreamWriter) -> None:
+    def _record_attempt(self, words: list[bytes], writer: asyncio.StreamWriter, direct: bool) -> None:
         before = self.tries.setdefault(words[2], [])
         options = dict(item.split(b"=", 1) for item in words[3].split(b","))
         effect = self.effects[options[b"c"]]
@@ -68,7 +75,7 @@
             self.broken.append(f"{words[2].decode()} was changed on its way")
         if not 0 < int(options[b"d"]) < 10**9:
             self.broken.append(f"{words[2].decode()} tells {options[b'd'].decode()} ms")
-        before.append(ReceivedAttempt(words, writer))
+        before.append(ReceivedAttempt(words, writer, direct=direct))
 
     def check_answers(self, asked: list[bytes], got: list[bytes], owed: set[bytes]) -> None:
         """Check the answers on one connection against the ids that it asked for, in order.
--- a/tests/crossings/forcing.py
+++ b/tests/crossings/forcing.py
@@ -17,7 +17,8 @@
 from otterquay.logs import silent
 from otterquay.node.front import Front
 from otterquay.node.resp_codec import RespCodec
-from tests.noderig import Rig, served
+from otterquay.standins.resp import served
+from tests.noderig import Rig
 
 Work = Callable[[], Coroutine[Any, Any, None]]
 LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
--- a/tests/crossings/test_appliances.py
+++ b/tests/crossings/test_appliances.py
@@ -10,8 +10,8 @@
 from otterquay.agent.connection_pool import MAX_REUSE_IDLE_S
 from otterquay.agent.outcomes import End
 from otterquay.agent.sockets import has_unread_data
+from otterquay.standins.resp import served
 from tests.crossings.forcing import LOOPS, BlockingAppliance, PoolCalls, run, until, wait_until_arrived
-from tests.noderig import served
 
 
 @pytest.mark.parametrize("what", ["a second answer", "half an answer", "a close", "a reset"])
--- a/tests/crossings/test_attempts.py
+++ b/tests/crossings/test_attempts.py
@@ -11,8 +11,9 @@
 
 from otterquay import interface as it
 from otterquay.agent.sockets import peer_closed
+from otterquay.standins.resp import served
 from tests.crossings.forcing import BlockingAppliance, ConnectGate, PoolCalls, run, until, wait_until_arrived
-from tests.noderig import SETTINGS, Rig, answer, served
+from tests.noderig import SETTINGS, Rig, answer
 
 LATE = {**SETTINGS["limits"], "connectTimeoutMs": 30000.0}
 Change = Callable[[Rig, str], Any]
--- a/tests/crossings/test_clients.py
+++ b/tests/crossings/test_clients.py
@@ -10,8 +10,9 @@
 from otterquay import interface as it
 from otterquay.agent.sockets import peer_closed
 from otterquay.node import client as clients
+from otterquay.standins.resp import answer_bytes, never_answer, served
 from tests.crossings.forcing import front_clock_at, hold_requests, open_idle_connections, run, wait_until_arrived
-from tests.noderig import SETTINGS, Rig, answer, answer_bytes, never_answer, served
+from tests.noderig import SETTINGS, Rig, answer
 
 
 def test_an_attempt_whose_client_left_while_it_connected_never_begins() -> None:
--- a/tests/crossings/test_cold.py
+++ b/tests/crossings/test_cold.py
@@ -9,9 +9,10 @@
 
 from otterquay import interface as it
 from otterquay.policy.agent import Agent
+from otterquay.standins.resp import Appliance, answer_at_once
 from tests.crossings.forcing import run
 from tests.crossings.wiretape import RespTape, broken
-from tests.noderig import SETTINGS, Appliance, Rig, answer, answer_at_once
+from tests.noderig import SETTINGS, Rig, answer
 
 COLD = {"coldMs": 3000.0, "startCapacity": 0.4, "fallMultiple": 3.0, "fallMs": 500.0}
 WORK_S = 0.01
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -14,6 +14,7 @@
 from otterquay.node.agent import FLUSH_S, LINGER_S, shutdown_time_s
 from otterquay.node.client import State
 from otterquay.node.front import QUIET_PERIOD_S
+from otterquay.standins.resp import served
 from tests.crossings.forcing import (
     LOOPS,
     front_clock_at,
@@ -22,7 +23,7 @@
     run,
     wait_until_arrived,
 )
-from tests.noderig import CLASSES, Rig, answer, served
+from tests.noderig import CLASSES, Rig, answer
 
 
 async def draining(rig: Rig) -> tuple[Any, asyncio.StreamReader, asyncio.StreamWriter, asyncio.Future[None]]:
--- a/tests/crossings/test_drawn.py
+++ b/tests/crossings/test_drawn.py
@@ -20,12 +20,13 @@
 from otterquay.agent.exchange import Call, Connection
 from otterquay.agent.lifecycle import Phase
 from otterquay.agent.ports import ClientRequest, Requester
+from otterquay.lab.attempt_audit import Audit
 from otterquay.policy.agent import Agent
-from tests.crossings.audit import Audit
+from otterquay.standins.resp import Appliance, served
 from tests.crossings.forcing import run
 from tests.crossings.wiretape import RespTape, broken
 from tests.helpers import never_drains
-from tests.noderig import CLASSES, SETTINGS, Appliance, Rig, answer, served
+from tests.noderig import CLASSES, SETTINGS, Rig, answer
 
 DRAWS, STEPS = int(os.environ.get("OTTERQUAY_DRAWS", "32")), 60
 SHORT = [{**one, "deadlineMs": 500.0, "onTimeMs": 200.0} for one in CLASSES]
--- a/tests/crossings/test_process.py
+++ b/tests/crossings/test_process.py
@@ -16,8 +16,9 @@
 
 import pytest
 
+from otterquay.standins.resp import never_answer, served
 from tests.crossings.forcing import run
-from tests.noderig import Rig, answer, never_answer, served
+from tests.noderig import Rig, answer
 
 ROOT = Path(__file__).parent.parent.parent
 READY = "agent_started"
--- a/tests/crossings/wiretape.py
+++ b/tests/crossings/wiretape.py
@@ -11,12 +11,12 @@
 from typing import Any
 
 from otterquay.lab.auditor import Auditor, Report
-from otterquay.protocol.platform import PHASES, parse_state
 from otterquay.standins import tape as tp
-from tests.noderig import SETTINGS, Appliance, Rig
+from otterquay.standins.feed_tape import FeedTape, incarnation, server_number
+from otterquay.standins.resp import Appliance
+from tests.noderig import SETTINGS, Rig
 from tests.rig import service
 
-STATES: dict[str, Any] = {"in_service": "ready", "terminating": "draining", "terminated": "gone"}
 TOLERANCE_S, TICK_S = 0.05, 0.005
 
 
@@ -27,22 +27,21 @@
     rig: Rig
     work_s: float = 0.01
     tape: tp.Tape = field(default_factory=tp.Tape)
-    broken_since: dict[str, float] = field(default_factory=dict)  # by feed, "list" or "stage"
-    _last_entries: dict[str, Any] = field(default_factory=dict)
     _ticker: asyncio.Task[None] | None = None
     stalled_s: float = 0.0
 
     def __post_init__(self) -> None:
         self.now = asyncio.get_running_loop().time
+        self.feeds = FeedTape(self.tape, 0, len(SETTINGS["familyInfo"]["caps"]), self.now)
         self._ticker = asyncio.ensure_future(self._tick())
         self.tape.add(tp.AgentUp(self.now(), 0))
         self.hook(self.rig)
-        self.list_sent(list(self.rig.discovery.entries.values()), True)
-        self.stage_sent(self.rig.desk.state, True)
+        self.feeds.list_sent(list(self.rig.discovery.entries.values()), True)
+        self.feeds.stage_sent(self.rig.desk.state, True)
 
     def hook(self, rig: Rig) -> None:
         """Record what the discovery and platform of this rig send."""
-        rig.discovery.on_sent, rig.desk.on_sent = self.list_sent, self.stage_sent
+        self.feeds.hook(rig.discovery, rig.desk)
 
     async def _tick(self) -> None:
         while True:
@@ -50,50 +49,9 @@
             await asyncio.sleep(TICK_S)
             self.stalled_s = max(self.stalled_s, self.now() - before - TICK_S)
 
-    # --- feeds ---
     def feeds_broken(self, *feeds: str) -> None:
         """Note that the connections of these feeds break now: updates may be lost until they reconnect."""
-        for feed in feeds:
-            self.broken_since.setdefault(feed, self.now())
-
-    def _record_break(self, feed: str) -> None:
-        if since := self.broken_since.pop(feed, None):
-            self.tape.add(tp.Severed(self.now(), [0], since, False, 0.0))
-
-    def list_sent(self, entries: list[dict[str, Any]], whole: bool) -> None:
-        """Record a list or a delta that discovery sends."""
-        if whole:
-            self._record_break("list")
-            named = {entry["instanceId"] for entry in entries}
-            entries = entries + [
-                {**entry, "lifecycle": "terminated"} for id, entry in self._last_entries.items() if id not in named
-            ]
-            self._last_entries = {}
-        for entry in entries:
-            self._last_entries[entry["instanceId"]] = entry
-            self.tape.add(
-                tp.ToldServer(
-                    self.now(),
-                    0,
-                    self.number(entry),
-                    STATES[entry["lifecycle"]],
-                    entry["version_no"],
-                    self.incarnation(entry),
-                )
-            )
-
-    def stage_sent(self, state: bytes, first: bool) -> None:
-        """Record a stage that the platform sends, as the first message of a connection or later."""
-        if first:
-            self._record_break("stage")
-        told = parse_state(state.split(b" "), len(SETTINGS["familyInfo"]["caps"]))
-        phase: Any = {
-            b"testing": "trial",
-            b"recalling": "going_back",
-            b"live": "released",
-            b"recalled": "withdrawn",
-        }[next(word for word, one in PHASES.items() if one is told.phase)]
-        self.tape.add(tp.ToldStage(self.now(), 0, told.build, told.stage, phase, told.cap))
+        self.feeds.feeds_broken(*feeds)
 
     # --- requests ---
     def asked(self, id: str, cls: str) -> None:
@@ -108,8 +66,8 @@
                 self.now(),
                 words[2].decode(),
                 f"{self.now()}",
-                self.number(entry),
-                self.incarnation(entry),
+                server_number(entry),
+                incarnation(entry),
                 entry["version_no"],
                 "north",
                 self.work_s,
@@ -120,30 +78,20 @@
         """Record that an appliance has started cold; `capacity` in core seconds per second, once it is warm."""
         entry = self.entry(one)
         self.tape.add(
-            tp.Started(self.now(), self.number(entry), self.incarnation(entry), entry["version_no"], capacity, True)
+            tp.Started(self.now(), server_number(entry), incarnation(entry), entry["version_no"], capacity, True)
         )
 
     def entry(self, one: Appliance) -> dict[str, Any]:
         """Return the discovery entry of an appliance."""
         return self.rig.discovery.entries[f"s-{self.rig.appliances.index(one)}"]
 
-    @staticmethod
-    def number(entry: dict[str, Any]) -> int:
-        """Return a server's number on the tape."""
-        return 1 + int(entry["instanceId"][2:])
-
-    @staticmethod
-    def incarnation(entry: dict[str, Any]) -> int:
-        """Return a number that differs for each start and each build of a server."""
-        return 1 + int(entry.get("startedAtMs", 0)) * 100 + int(entry["version_no"])
-
     # --- the verdict ---
     def judge(self, **rules: Any) -> Report:
         """Judge the tape by the three rules, with these figures instead of the rig's."""
         if self._ticker:
             self._ticker.cancel()
-        for feed in list(self.broken_since):
-            self._record_break(feed)
+        for feed in list(self.feeds.broken_since):
+            self.feeds.record_break(feed)
         self.tape.add(tp.Stalled(self.now(), self.stalled_s))
         info = SETTINGS["familyInfo"]
         stages = [
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,7 +14,8 @@
 from otterquay.node.request_reader import RequestReader
 from otterquay.protocol import resp
 from otterquay.protocol.targets import server_number
-from tests.noderig import Rig, answer, answer_bytes, never_answer, served
+from otterquay.standins.resp import answer_bytes, never_answer, served
+from tests.noderig import Rig, answer
 from tests.rig import run
 
 
