--- /dev/null
+++ b/otterquay/lab/soak/appliances.py
@@ -0,0 +1,148 @@
+"""An appliance of the soak: answers as its mode says, and records what it received and answered."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections import Counter
+from dataclasses import dataclass, field
+from typing import Any
+
+from otterquay.lab.attempt_audit import Audit
+from otterquay.lab.soak.script import Mode
+from otterquay.standins import tape as tp
+from otterquay.standins.feed_tape import incarnation, server_number
+from otterquay.standins.links import Link, LinkState
+from otterquay.standins.resp import Appliance, served
+
+REQUESTS = (b"SVC.QUERY", b"SVC.SUBMIT")
+WORK_S = 0.001
+LEAST_CAPACITY_PER_S = 50  # requests that a warm one bears, if it never got as many
+USUAL_ANSWER_S = 0.015  # the longest time of a good answer
+LATE_ANSWER_S = (0.1, 1.5)
+MAX_SECOND_ANSWER_S = 0.003  # a second answer comes no later than this after the first
+SPOILT_ANSWERS = (b"\xff\x00*9\r\n", b"*3\r\n$-1\r\n", b":1\r\n")
+MIXED: dict[Mode, int] = {
+    "good": 8,
+    "late": 2,
+    "busy": 2,
+    "error": 1,
+    "close": 1,
+    "reset": 1,
+    "twice": 1,
+    "spoilt": 1,
+    "hang": 1,
+}
+
+
+@dataclass
+class SoakAppliance:
+    """One appliance, reached directly or over a link that can be cut; `entry` is its entry in discovery's list."""
+
+    number: int
+    zone: str
+    relayed: bool
+    rng: random.Random
+    audit: Audit
+    tape: tp.Tape
+    mode: Mode = "good"
+    stand_in: Appliance = field(default_factory=Appliance)
+    link_state: LinkState = field(default_factory=LinkState)
+    link: Link | None = None
+    entry: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def id(self) -> str:
+        """Its id in discovery's list."""
+        return f"s-{self.number}"
+
+    async def start(self) -> None:
+        """Listen, and fill in the entry."""
+        address = await self.stand_in.start()
+        self.audit.watch(self.stand_in, self._behave, direct=not self.relayed)
+        if self.relayed:
+            self.link = Link(address, self.link_state)
+            address = await self.link.start()
+        self.entry = {
+            "instanceId": self.id,
+            "hostPort": address,
+            "lifecycle": "in_service",
+            "version_no": 1,
+            "zone": self.zone,
+            "startedAtMs": 0,
+        }
+
+    def close(self) -> None:
+        """Close the listener and all connections."""
+        self.stand_in.close()
+        if self.link:
+            self.link.close()
+
+    def record_cold_start(self) -> None:
+        """Record that it has just started, cold. Warm, it bears as much as it ever got in a second."""
+        now, number = asyncio.get_running_loop().time(), server_number(self.entry)
+        capacity = WORK_S * max(self._busiest_second(), LEAST_CAPACITY_PER_S)
+        self.tape.add(
+            tp.Started(now, number, incarnation(self.entry), int(self.entry["version_no"]), capacity, True)
+        )
+
+    def _busiest_second(self) -> int:
+        return max(Counter(int(at) for at in self.stand_in.at).values(), default=0)
+
+    def _behave(self, _: Appliance, writer: asyncio.StreamWriter, words: list[bytes]) -> None:
+        if words[0] not in REQUESTS:
+            if self.mode != "hang":
+                writer.write(b"+PONG\r\n" if words[0] == b"PING" else b"$9\r\npending=1\r\n")
+            return
+        tag = self._record_arrival(words)
+        mode = self.mode
+        if mode == "mixed":
+            mode = self.rng.choices(list(MIXED), list(MIXED.values()))[0]
+        self._answer(mode, writer, words, tag)
+
+    def _record_arrival(self, words: list[bytes]) -> str:
+        now = asyncio.get_running_loop().time()
+        tag = f"{len(self.stand_in.got)}"
+        build, number = int(self.entry["version_no"]), server_number(self.entry)
+        self.tape.add(
+            tp.Arrived(now, words[2].decode(), tag, number, incarnation(self.entry), build, self.zone, WORK_S)
+        )
+        return tag
+
+    def _answer(self, mode: Mode, writer: asyncio.StreamWriter, words: list[bytes], tag: str) -> None:
+        value = served(b"for " + words[2])
+        match mode:
+            case "good":
+                self._answer_later(writer, words, value, self.rng.uniform(0.0, USUAL_ANSWER_S))
+            case "late":
+                self._answer_later(writer, words, value, self.rng.uniform(*LATE_ANSWER_S))
+            case "twice":
+                self._answer_twice(writer, words, value)
+            case "busy":
+                id = words[2].decode()
+                now = asyncio.get_running_loop().time()
+                self.tape.add(tp.Replied(now, id, tag, server_number(self.entry), "not_seen"))
+                self.audit.answered(words, writer, b"-BUSY\r\n")
+            case "error":
+                self.audit.answered(words, writer, b"-ERR failed\r\n")
+            case "spoilt":
+                self.audit.answered(words, writer, self.rng.choice(SPOILT_ANSWERS))
+            case "close":
+                writer.write(value[: self.rng.randrange(len(value))])
+                writer.close()
+            case "reset":
+                writer.transport.abort()
+
+    def _answer_later(self, writer: asyncio.StreamWriter, words: list[bytes], value: bytes, seconds: float) -> None:
+        asyncio.get_running_loop().call_later(seconds, self.audit.answered, words, writer, value)
+
+    def _answer_twice(self, writer: asyncio.StreamWriter, words: list[bytes], value: bytes) -> None:
+        self.audit.answered(words, writer, value)
+        loop = asyncio.get_running_loop()
+        after_s = self.rng.uniform(0.0, MAX_SECOND_ANSWER_S / 2)
+        loop.call_later(after_s, self._answer_again, writer, value, loop.time())
+
+    def _answer_again(self, writer: asyncio.StreamWriter, value: bytes, first_at: float) -> None:
+        """Send the second answer, unless this loop was held up for so long that no agent could tell it apart."""
+        if asyncio.get_running_loop().time() - first_at <= MAX_SECOND_ANSWER_S and not writer.is_closing():
+            writer.write(value)
--- a/otterquay/standins/resp.py
+++ b/otterquay/standins/resp.py
@@ -98,6 +98,7 @@
         self.generation, self.entries = 1, dict[str, dict[str, Any]]()
         self.changed, self.corrupt_answers, self.silent = asyncio.Event(), list[bytes](), False
         self.asked: list[str] = []
+        self._never = asyncio.Event()  # kept, as a task that waits for an event of its own may be collected
         self.on_sent: Callable[[list[dict[str, Any]], bool], None] = (
             lambda entries, whole: None
         )  # called with everything sent
@@ -130,7 +131,7 @@
     async def hold_answer(self) -> None:
         """Withhold the answer while discovery is silent."""
         if self.silent:
-            await asyncio.Event().wait()
+            await self._never.wait()
 
     async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while head := await reader.readuntil(b"\r\n\r\n"):
--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,22 @@
+"""`python -m tests.soak --first N --seeds M [--json]`: plays and judges the soak days of these seeds."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+
+from otterquay.lab.soak.report import run_command
+
+
+def main() -> int:
+    """Parse the arguments and run the command."""
+    parser = argparse.ArgumentParser(prog="python -m tests.soak", description=__doc__)
+    parser.add_argument("--first", type=int, default=0, metavar="N", help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1, metavar="M", help="how many seeds")
+    parser.add_argument("--json", action="store_true", help="print one JSON object in place of the table")
+    arguments = parser.parse_args()
+    return run_command(arguments.first, arguments.seeds, arguments.json)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_forbidden_imports.py
+++ b/tests/test_forbidden_imports.py
@@ -16,6 +16,7 @@
     "lab/play.py",
     "lab/ports.py",
     "lab/cluster/world.py",
+    "lab/soak/process.py",
     "cli/root.py",
     "cli/cluster.py",
     "cli/lab.py",
