Soak: clients look at the socket before they send; long lists come at once

Cause of most: the soak's own loop. It stood still for 0.2 to 2.2 s at a time beside other work, so its clients wrote on connections whose end had lain unread for longer than the 0.1 s for which a draining agent waits.

A client now asks the kernel whether the agent has ended the connection, and sends nothing on one that it has. What crosses after that really crosses. Long lists are set at one version.

--- a/otterquay/lab/soak/clients.py
+++ b/otterquay/lab/soak/clients.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import cast
 
+from otterquay.agent.sockets import peer_closed
 from otterquay.lab.ports import HOST
 from otterquay.lab.soak.process import AgentProcess, ProcessRun, limit_receive_buffer
 from otterquay.lab.soak.requests import Request, RequestMaker
@@ -67,11 +68,12 @@
     def ask(self, requests: list[Request]) -> None:
         """Send whole requests in one write: a second write could fail and hide an answer that has come.
 
-        On a connection that has ended already, nothing is sent; an error that came before the end is the answer.
+        On a connection that the agent has ended already, though this loop may not have read it, nothing is sent; an
+        error that came before the end is the answer.
         """
         assert self.transport
         now = self._clients.now()
-        if self.closed.is_set() or self.transport.is_closing() or self.error:
+        if self.closed.is_set() or self.transport.is_closing() or self.error or peer_closed(self.transport):
             for request in requests:
                 request.turned_away = self.error
             return
--- a/otterquay/lab/soak/day.py
+++ b/otterquay/lab/soak/day.py
@@ -25,6 +25,7 @@
 PATIENT_KILL_S = 30.0  # after SIGTERM, where the verdict must not depend on how fast the machine is
 REST_S = 2.0  # for clients to go, attempts to be given up and idle connections to end
 CLOSE_S = 0.05  # for the ends of the connections of the stand-ins
+FIRST_EXTRA_SERVER = 10_000  # number of the first server that only lengthens the list
 SETTLE_S = 0.3  # after the last process has ended, for what is still on its way to the stand-ins
 NEW_BUILD_STARTED_MS = 10**12  # long ago, so that a server of build 2 is warm
 INITIAL_STATE = b"1 0 live 1 5"
@@ -344,9 +345,9 @@
 
     def _lengthen_list(self, event: events.LongList) -> None:
         template = {**self.appliances[0].entry, "lifecycle": "terminating"}
+        names = [f"x-{FIRST_EXTRA_SERVER + number}" for number in range(event.servers)]
         for feeds in self.feeds:
-            for number in range(event.servers):
-                feeds.set(f"x-{10_000 + number}", **{**template, "instanceId": f"x-{10_000 + number}"})
+            feeds.set_all({name: {**template, "instanceId": name} for name in names})
 
     def _connections_left(self) -> list[str]:
         """Connections of agents, which have all ended, at appliances without a link that may hide their end."""
--- a/otterquay/lab/soak/feeds.py
+++ b/otterquay/lab/soak/feeds.py
@@ -69,6 +69,13 @@
         for discovery in self.discoveries:
             discovery.set(server, **entry)
 
+    def set_all(self, entries: dict[str, dict[str, Any]]) -> None:
+        """Change many entries at one version."""
+        for discovery in self.discoveries:
+            discovery.generation += 1
+            discovery.entries |= {id: {**entry, "of": discovery.generation} for id, entry in entries.items()}
+            discovery.changed.set()
+
     def publish(self, state: bytes) -> None:
         """Tell a state of the newest build."""
         for desk in self.desks:
