Drain: in its last 0.15 s a connection closes after its next answer

Cause: a draining agent closes a connection only after a served answer; in the last 0.15 s all is refused, so connections in use stayed open until Front.close, which ends the listener first.

Mend: once the drain's time is up, each connection closes after its next answer; the listener stays until close, so what crosses is refused on a new connection. A request that comes back at once after the drain's failure is refused as before (test unchanged).

The new test failed before: pytest tests/crossings/test_drain.py -k is_refused_at_the_end, the connection was still open after its -BUSY.

--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -182,6 +182,9 @@
             if client.number is None and not client.waiting:
                 client.writer.close()
 
+    def finish(self) -> None:
+        """Nothing more to do: a drain closes each connection after its next answer."""
+
     def drained(self) -> bool:
         """Clients that have their answers are not waited for."""
         return True
--- a/otterquay/agent/lifecycle.py
+++ b/otterquay/agent/lifecycle.py
@@ -90,6 +90,7 @@
             return
         self.drain_until = min(self.drain_until, self._now() + within_s)
         await self.drain()
+        self.ports.front.finish()
         settle_until = self._now() + self.settle_s  # requests that arrive meanwhile are refused
         while self._now() < settle_until and not self.ports.front.drained():
             await asyncio.sleep(DRAIN_POLL_S)
--- a/otterquay/agent/ports.py
+++ b/otterquay/agent/ports.py
@@ -134,6 +134,9 @@
     def drain(self) -> None:
         """Start a graceful shutdown: close idle connections now, the others after their answers."""
 
+    def finish(self) -> None:
+        """Take no further request: close each connection after its next answer."""
+
     def drained(self) -> bool:
         """Whether the drain need not wait for any client."""
 
--- a/otterquay/node/client.py
+++ b/otterquay/node/client.py
@@ -207,9 +207,10 @@
             self.transport.write(data)
             self.write_stall.written += len(data)
             self.idle_since = self.front.active_time()
-        # while draining, a client that was refused may retry at once, so only a served one is closed here
+        # while draining, a client that was refused may retry at once, so until the end only a served one is closed
         served = bool(ready) and not ready[-1].startswith(b"-")
-        done = self.front.draining and served and not self.parser.started
+        last = served or (bool(ready) and self.front.finishing)
+        done = self.front.draining and last and not self.parser.started
         if not self.slots and (self.state is State.ENDING or done):
             self.close()
 
--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -38,6 +38,7 @@
     clients: set[ClientConnection] = field(default_factory=set)
     ids: set[bytes] = field(default_factory=set)  # ids of open requests
     draining: bool = False
+    finishing: bool = False  # no further request is taken: each connection closes after its next answer
     stall_detector: StallDetector = field(default_factory=lambda: StallDetector(0.0))
     reader: RequestReader = field(init=False)
     _last_change: float = 0.0  # when a connection was last opened or closed
@@ -93,6 +94,14 @@
             client.close()
         self._drain_timer = self._loop.call_later(DRAIN_CLOSE_INTERVAL_S, self._close_next_idle)
 
+    def finish(self) -> None:
+        """Close each connection after its next answer, whatever that is.
+
+        The listener stays open until `close`. A connection in use until then would leave a request that crosses its
+        end without a place to go.
+        """
+        self.finishing = True
+
     def drained(self) -> bool:
         """Whether no connection is left and none was opened or closed within the quiet period."""
         return not self.clients and self.now() - self._last_change >= QUIET_PERIOD_S
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -273,6 +273,28 @@
     run(work)
 
 
+def test_who_is_refused_at_the_end_of_a_drain_is_closed_while_the_listener_still_stands() -> None:
+    """Guards against a connection that is in use to the last: a request that crosses its end finds nobody."""
+
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            held = hold_requests(rig)
+            reader, writer = await rig.connect()
+            writer.write(rig.encode_request(id="first"))
+            await rig.until(lambda: held)
+            rig.node.settle_s = 60.0
+            stopping = asyncio.ensure_future(rig.node.stop(0.0))
+            assert await answer(reader) == b"-ERR the agent ends"
+            await rig.until(lambda: rig.node.open_requests == {})
+            writer.write(rig.encode_request(id="again"))
+            assert await answer(reader) == b"-BUSY"
+            assert all(client.state is State.CLOSED for client in rig.node.front.clients)
+            assert await rig.exchange(rig.encode_request(id="crossed")) == b"-BUSY"
+            await stopping
+
+    run(work)
+
+
 def test_a_second_end_and_a_late_reload_change_nothing() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
