--- a/tests/crossings/forcing.py
+++ b/tests/crossings/forcing.py
@@ -18,7 +18,8 @@
 from otterquay.logs import silent
 from otterquay.node.front import Front
 from otterquay.node.resp_codec import RespCodec
-from tests.noderig import Rig, served
+from otterquay.standins.resp import served
+from tests.noderig import Rig
 
 Work = Callable[[], Coroutine[Any, Any, None]]
 SETTLE_S = 0.001  # real time without input after which no byte is under way on the loopback interface
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -14,6 +14,7 @@
 from otterquay.node.agent import FLUSH_S, LINGER_S, shutdown_time_s
 from otterquay.node.client import State
 from otterquay.node.front import QUIET_PERIOD_S
+from otterquay.standins.resp import served
 from tests.crossings.forcing import (
     LOOPS,
     STEP_CLOCK,
@@ -23,7 +24,7 @@
     run,
     wait_until_arrived,
 )
-from tests.noderig import CLASSES, Rig, answer, served
+from tests.noderig import CLASSES, Rig, answer
 
 
 async def draining(rig: Rig) -> tuple[Any, asyncio.StreamReader, asyncio.StreamWriter, asyncio.Future[None]]:
@@ -292,6 +293,28 @@
     run(work)
 
 
+def test_who_is_refused_at_the_end_of_a_drain_is_closed_while_the_listener_still_stands() -> None:
+    """Guards against a connection that is in use to the last: a request that crosses its end finds nobody."""
+
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            held = hold_requests(rig)
+            reader, writer = await rig.connect()
+            writer.write(rig.encode_request(id="first"))
+            await rig.until(lambda: held)
+            rig.node.settle_s = 60.0
+            stopping = asyncio.ensure_future(rig.node.stop(0.0))
+            assert await answer(reader) == b"-ERR the agent ends"
+            await rig.until(lambda: rig.node.open_requests == {})
+            writer.write(rig.encode_request(id="again"))
+            assert await answer(reader) == b"-BUSY"
+            assert all(client.state is State.CLOSED for client in rig.node.front.clients)
+            assert await rig.exchange(rig.encode_request(id="crossed")) == b"-BUSY"
+            await stopping
+
+    run(work)
+
+
 def test_a_second_end_and_a_late_reload_change_nothing() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
