--- a/otterquay/policy/votes.py
+++ b/otterquay/policy/votes.py
@@ -55,12 +55,10 @@
             not served_classes
             or min(old_errors / max(old_n, 1) for _, _, old_n, old_errors in pools[1][0]) > OVERLOAD_LOST_SHARE
         )
-        # From these shares of errors on the breaker may trip once it is sure, so the step waits for it.
         failing = self.errors_widespread and any(
-            errors > max(1.5, (usual + ERROR_MARGIN) * n, 2 * usual * n)
+            errors > max(1.5, 2 * ERROR_MARGIN * n, 2 * old_errors / max(old_n, 1) * n)
             for rows, _ in pools
             for n, errors, old_n, old_errors in rows
-            for usual in [old_errors / max(old_n, 1)]
         )
         # A class that is shed brings no outcomes, so only served classes must have been seen.
         min_outcomes = MIN_CLASS_OUTCOMES * (1 + self.stage_news.stage)
