Breaker: a peer's message with huge levels no longer ends an agent's bins

An agent that got a peer's message with finite but huge levels ended no bin any more, so it voted no more: the text of the breaker's reason took the exponential of the level, which overflowed, before the next timer was set. Found by reading the log of votes; the number that the text shows is bounded now, and the decision is as it was.

--- a/otterquay/policy/breaker.py
+++ b/otterquay/policy/breaker.py
@@ -28,6 +28,8 @@
 MIN_LEVEL_LATENCIES = 20
 # Log ratio of the trial's level to the earlier build's above which the breaker trips.
 TRIP_LEVEL_LOG = math.log(1.8)
+# Largest log ratio that the log shows as a factor.
+MAX_SHOWN_LEVEL_LOG = math.log(1e9)
 # Variance of one log latency, and of one server's mean log latency.
 LATENCY_VARIANCE = 0.5
 SERVER_VARIANCE = 0.08
@@ -92,10 +94,8 @@
                     trial_level - earlier_level - math.sqrt(LEVEL_SIGMAS**2 + 2 * math.log(judging)) * noise
                     > TRIP_LEVEL_LOG
                 ):
-                    return (
-                        f"level {name}: {math.exp(trial_level - earlier_sum / level_n):.2f} times earlier, "
-                        f"{level_n:.0f} each"
-                    )
+                    factor = math.exp(min(trial_level - earlier_sum / level_n, MAX_SHOWN_LEVEL_LOG))
+                    return f"level {name}: {factor:.2f} times earlier, {level_n:.0f} each"
         late_classes = [
             c
             for c, cls in enumerate(self.settings.classes if own_outcomes >= 2 * self.class_count else ())
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -4,12 +4,14 @@
 
 import random
 import re
+import struct
 from collections.abc import Callable
 
 import pytest
 from helpers import SETTINGS, AgentDriver, entry, sends, settings
 
 from otterquay import interface as it
+from otterquay.policy.evidence import NOTE_HEADER
 
 Server = Callable[
     [int, int, random.Random], tuple[it.Status, float]
@@ -233,6 +235,21 @@
         assert driver.deliver(it.PeerMessage(1, data)) == []
 
 
+def test_a_peer_message_with_huge_levels_stops_no_bin() -> None:
+    """Guards against an overflow in the text of a vote's reason, which ended the agent's bins."""
+    driver = offered(config=settings(agents=2, limits={"peers": True}))
+    play(driver, good, 4.0)
+    levels = [50.0, 5e31, 50.0, 0.0]
+    row = [0.0] * (4 * driver.agent.class_count) + levels
+    note = NOTE_HEADER.pack(1, 2, driver.agent.class_count) + struct.pack(f"<{len(row)}f", *row)
+    driver.deliver(it.PeerMessage(1, note))
+    bins = driver.agent.bin_count
+    for _ in range(4):
+        driver.tick(500.0)
+    assert driver.agent.bin_count == bins + 4
+    assert any("level own: " in action.text for action in driver.actions if isinstance(action, it.Log))
+
+
 def tallied(own_errors: int) -> AgentDriver:
     """Return one of fifty agents without peer messages; it has own errors at a trial server and tallies of more."""
     driver = AgentDriver(settings(agents=50, rollout={"tally_ms": 2000.0}), servers=8)
