Soak: a request that could not be sent again stays lost

A request that crossed the close of its connection, and whose second connection had been ended by the agent before it could be sent, lost the time at which its first connection ended, and was judged by another count. The time is now cleared only when the request is really sent again.

--- a/otterquay/lab/soak/clients.py
+++ b/otterquay/lab/soak/clients.py
@@ -78,7 +78,7 @@
                 request.turned_away = self.error
             return
         for request in requests:
-            request.run, request.sent_at, request.due_from = self.run, now, now
+            request.run, request.sent_at, request.due_from, request.closed_at = self.run, now, now, None
             self.outstanding.append(request)
             self._clients.note_asked(request)
         self.transport.write(b"".join(request.encoded for request in requests))
@@ -185,7 +185,6 @@
         if connection is None:
             request.refused_at = self.now()
             return
-        request.closed_at = None
         connection.ask([request])
         await connection.closed.wait()
 
