--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -275,16 +275,24 @@
     run(work)
 
 
+async def failed_by_the_end_of_a_drain(
+    rig: Rig,
+) -> tuple[list[bytes], asyncio.StreamReader, asyncio.StreamWriter, asyncio.Future[None]]:
+    """Let the time of a drain run out on a request; the requests held, the client's streams, and the planned end."""
+    held = hold_requests(rig)
+    reader, writer = await rig.connect()
+    writer.write(rig.encode_request(id="first"))
+    await rig.until(lambda: held)
+    rig.node.settle_s = 60.0
+    stopping = asyncio.ensure_future(rig.node.stop(0.0))
+    assert await answer(reader) == b"-ERR the agent ends"
+    return held, reader, writer, stopping
+
+
 def test_who_is_failed_at_the_end_of_a_drain_and_asks_again_at_once_is_refused_not_reset() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
-            held = hold_requests(rig)
-            reader, writer = await rig.connect()
-            writer.write(rig.encode_request(id="first"))
-            await rig.until(lambda: held)
-            rig.node.settle_s = 60.0
-            stopping = asyncio.ensure_future(rig.node.stop(0.0))
-            assert await answer(reader) == b"-ERR the agent ends"
+            held, reader, writer, stopping = await failed_by_the_end_of_a_drain(rig)
             writer.write(rig.encode_request(id="again"))
             assert [await answer(reader), await answer(reader)] == [b"-BUSY", b""]
             await stopping
@@ -298,13 +306,7 @@
 
     async def work() -> None:
         async with Rig(count=1) as rig:
-            held = hold_requests(rig)
-            reader, writer = await rig.connect()
-            writer.write(rig.encode_request(id="first"))
-            await rig.until(lambda: held)
-            rig.node.settle_s = 60.0
-            stopping = asyncio.ensure_future(rig.node.stop(0.0))
-            assert await answer(reader) == b"-ERR the agent ends"
+            _, reader, writer, stopping = await failed_by_the_end_of_a_drain(rig)
             await rig.until(lambda: rig.node.open_requests == {})
             writer.write(rig.encode_request(id="again"))
             assert await answer(reader) == b"-BUSY"
