--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+from dataclasses import dataclass
 from typing import Any
 
 import pytest
@@ -275,10 +276,18 @@
     run(work)
 
 
-async def failed_by_the_end_of_a_drain(
-    rig: Rig,
-) -> tuple[list[bytes], asyncio.StreamReader, asyncio.StreamWriter, asyncio.Future[None]]:
-    """Let the time of a drain run out on a request; the requests held, the client's streams, and the planned end."""
+@dataclass(frozen=True)
+class FailedClient:
+    """A client whose request was failed as the time of a drain ran out, and the planned end under way."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    held: list[tuple[asyncio.StreamWriter, bytes]]
+    stopping: asyncio.Future[None]
+
+
+async def fail_at_the_end_of_a_drain(rig: Rig) -> FailedClient:
+    """Let the time of a drain run out on a request."""
     held = hold_requests(rig)
     reader, writer = await rig.connect()
     writer.write(rig.encode_request(id="first"))
@@ -286,17 +295,17 @@
     rig.node.settle_s = 60.0
     stopping = asyncio.ensure_future(rig.node.stop(0.0))
     assert await answer(reader) == b"-ERR the agent ends"
-    return held, reader, writer, stopping
+    return FailedClient(reader, writer, held, stopping)
 
 
 def test_who_is_failed_at_the_end_of_a_drain_and_asks_again_at_once_is_refused_not_reset() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
-            held, reader, writer, stopping = await failed_by_the_end_of_a_drain(rig)
-            writer.write(rig.encode_request(id="again"))
-            assert [await answer(reader), await answer(reader)] == [b"-BUSY", b""]
-            await stopping
-            assert len(held) == 1 and rig.node.counts["taken"] == 1
+            client = await fail_at_the_end_of_a_drain(rig)
+            client.writer.write(rig.encode_request(id="again"))
+            assert [await answer(client.reader), await answer(client.reader)] == [b"-BUSY", b""]
+            await client.stopping
+            assert len(client.held) == 1 and rig.node.counts["taken"] == 1
 
     run(work)
 
@@ -306,13 +315,13 @@
 
     async def work() -> None:
         async with Rig(count=1) as rig:
-            _, reader, writer, stopping = await failed_by_the_end_of_a_drain(rig)
+            client = await fail_at_the_end_of_a_drain(rig)
             await rig.until(lambda: rig.node.open_requests == {})
-            writer.write(rig.encode_request(id="again"))
-            assert await answer(reader) == b"-BUSY"
-            assert all(client.state is State.CLOSED for client in rig.node.front.clients)
+            client.writer.write(rig.encode_request(id="again"))
+            assert await answer(client.reader) == b"-BUSY"
+            assert all(connection.state is State.CLOSED for connection in rig.node.front.clients)
             assert await rig.exchange(rig.encode_request(id="crossed")) == b"-BUSY"
-            await stopping
+            await client.stopping
 
     run(work)
 
