Known red: a test of a store moved to a machine that has been up for longer

Traced: store time advances by the whole difference of the clocks while no time passes. From 4.25 s ahead the attempts are restored with a date before the window (bin end 250 ms after the attempt); from 5.0 s their entries have ended. Nothing in the store tells which start of a machine a clock counts from.

--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -196,6 +196,24 @@
     run(work())
 
 
+# --- a clock that counts from another start of a machine ---
+@pytest.mark.parametrize("clock_ahead_s", [4.5, 10.0])  # the attempts are stored for 5 s and count for 4 s
+def test_a_store_moved_to_a_machine_that_has_been_up_for_longer_forgets_no_attempt(clock_ahead_s: float) -> None:
+    """Guards against the difference between the clocks of two machines taken for elapsed time."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        processes.send(5)
+        await processes.written()
+        await processes.stop()
+        processes.clock_offset_s += clock_ahead_s
+        await processes.start()
+        assert processes.lost() == processes.invented() == {}
+
+    run(work())
+
+
 # --- kills and power losses ---
 SYNC_MS = 400.0
 
