Store: time between processes counts only within one boot of one machine

Callers of a bad build on trial saw more of it than the rollout allows, after an agent's store folder had moved to a machine that has been up for longer: the agent forgot attempts that count, five of five. Votes ended early, and store repair on such a machine left both out of the copy.

Cause: store time went forward by the difference of the clock to the newest record. The clock counts from the boot of the machine, so over a reboot or a move the difference is no elapsed time, and no record told of which boot its reading was.

Change: a record has a tag of the boot that its clock reading counts from (boot id and time namespace), in three bytes that were zeros and that earlier versions read over. Time since the newest record counts if both tags are the same and known; otherwise store time goes on from that record, and a record is written from which later starts in this boot count. It never runs ahead of real time then, so nothing that forbids ends early; a restart within a boot ages all as before.

Attempts age over restarts within a boot, before and after a move.

--- a/otterquay/cli/root.py
+++ b/otterquay/cli/root.py
@@ -21,7 +21,7 @@
 from otterquay.cli.store import store_commands
 from otterquay.config import ConfigError, load_service
 from otterquay.logs import configure_logging
-from otterquay.store import StoreCorrupted, StoreFailed, open_store
+from otterquay.store import StoreCorrupted, StoreFailed, open_store, read_boot_id
 from otterquay.store.files import BackgroundSyncDisk
 
 EXISTING_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
@@ -161,7 +161,8 @@
         if service.agent.store:
             clock = asyncio.get_running_loop().time
             try:
-                store = await open_store(BackgroundSyncDisk(Path(service.agent.store)), log, clock)
+                disk = BackgroundSyncDisk(Path(service.agent.store))
+                store = await open_store(disk, log, clock, boot_id=read_boot_id())
             except (StoreCorrupted, OSError) as error:
                 # serves traffic without the store: serving matters more than the stored state, which
                 # `otterquay store repair` recovers
--- a/otterquay/cli/store.py
+++ b/otterquay/cli/store.py
@@ -12,7 +12,7 @@
 import click
 
 from otterquay.logs import configure_logging
-from otterquay.store import Store, StoreCorrupted, StoreFailed, open_store
+from otterquay.store import Store, StoreCorrupted, StoreFailed, open_store, read_boot_id
 from otterquay.store.definitions import segment_name
 from otterquay.store.files import Disk
 from otterquay.store.salvage import Report, backup, salvage, verify
@@ -43,7 +43,9 @@
 
 
 async def _open_read_only(folder: Path) -> Store:
-    return await open_store(Disk(folder), configure_logging("error", "console"), _loop_clock(), read_only=True)
+    return await open_store(
+        Disk(folder), configure_logging("error", "console"), _loop_clock(), read_only=True, boot_id=read_boot_id()
+    )
 
 
 def _print_damage(folder: Path, report: Report) -> None:
@@ -125,7 +127,9 @@
     """Rewrite the live entries of FOLDER and remove the rest. No other process may use the folder."""
 
     async def work() -> tuple[int, int]:
-        opened = await open_store(Disk(folder), configure_logging("warning", "console"), _loop_clock())
+        opened = await open_store(
+            Disk(folder), configure_logging("warning", "console"), _loop_clock(), boot_id=read_boot_id()
+        )
         before = opened.total_bytes()
         await opened.compact()
         after = opened.total_bytes()
@@ -145,7 +149,12 @@
     async def work() -> tuple[int, int, int]:
         count, size = await backup(Disk(folder), Disk(to))
         copy = await open_store(
-            Disk(to), configure_logging("error", "console"), _loop_clock(), read_only=True, hints=False
+            Disk(to),
+            configure_logging("error", "console"),
+            _loop_clock(),
+            read_only=True,
+            hints=False,
+            boot_id=read_boot_id(),
         )
         return count, size, sum(copy.tables().values())
 
@@ -160,7 +169,9 @@
     """Copy the intact records of a damaged FOLDER to another one and report the damage; FOLDER stays as it is."""
 
     async def work() -> Report:
-        return await salvage(Disk(folder), Disk(to), configure_logging("warning", "console"), _loop_clock())
+        return await salvage(
+            Disk(folder), Disk(to), configure_logging("warning", "console"), _loop_clock(), read_boot_id()
+        )
 
     report = _run(folder, work())
     _print_damage(folder, report)
--- a/otterquay/lab/hosts.py
+++ b/otterquay/lab/hosts.py
@@ -21,6 +21,8 @@
 from otterquay.policy.agent import Agent
 from otterquay.store import open_store
 
+LAB_BOOT_ID = "lab"  # all agents of one process read its clock
+
 
 @dataclass(frozen=True, slots=True)
 class AgentPlacement:
@@ -78,7 +80,7 @@
         self.starts += 1
         rng = random.Random(self.place.seed * 1000 + self.starts)
         self.disk = self.disk.after_kill()
-        store = await open_store(self.disk, silent(), asyncio.get_running_loop().time)
+        store = await open_store(self.disk, silent(), asyncio.get_running_loop().time, boot_id=LAB_BOOT_ID)
         self.runtime = HttpAgent(
             agent_settings(self.service, self.place),
             rng,
--- a/otterquay/lab/torture.py
+++ b/otterquay/lab/torture.py
@@ -20,7 +20,17 @@
 
 from otterquay.lab.disk import FaultDisk
 from otterquay.logs import silent
-from otterquay.store import Change, Delete, Options, Put, Store, StoreCorrupted, StoreFailed, open_store
+from otterquay.store import (
+    Change,
+    Delete,
+    Options,
+    Put,
+    Store,
+    StoreCorrupted,
+    StoreFailed,
+    open_store,
+    read_boot_id,
+)
 from otterquay.store import format as fm
 from otterquay.store.files import BackgroundSyncDisk, Disk
 
@@ -71,14 +81,25 @@
 
 
 class Clock:
-    """A settable clock, in seconds."""
+    """A settable clock, in seconds, and the boot that it counts from."""
 
     def __init__(self, now: float = 1000.0) -> None:
         self.now = now
+        self.boots = 1
 
     def __call__(self) -> float:
         return self.now
 
+    @property
+    def boot_id(self) -> str:
+        """The name of the boot that the clock counts from."""
+        return f"boot {self.boots}"
+
+    def reboot(self, now: float) -> None:
+        """Count from another boot, as after a move to a machine that has been up for `now` seconds."""
+        self.boots += 1
+        self.now = now
+
 
 def run_sync(work: Coroutine[Any, Any, T]) -> T:
     """Run a coroutine that never suspends, as with a simulated disk; usable inside a running event loop."""
@@ -141,7 +162,7 @@
         self.last = max(n for n in self.files if n.endswith(".seg"))
 
     async def _fill(self, rng: random.Random) -> None:
-        store = await open_store(self.disk, silent(), self.clock, SMALL_OPTIONS)
+        store = await open_store(self.disk, silent(), self.clock, SMALL_OPTIONS, boot_id=self.clock.boot_id)
         state: State = {}
         while (
             store.oldest < 4
@@ -164,7 +185,9 @@
     def open_and_read(self, files: dict[str, bytes]) -> tuple[Store | None, State | None]:
         """Open a store and read all entries; None if either reports damage."""
         try:
-            store = run_sync(open_store(FaultDisk(files), silent(), self.clock, SMALL_OPTIONS))
+            store = run_sync(
+                open_store(FaultDisk(files), silent(), self.clock, SMALL_OPTIONS, boot_id=self.clock.boot_id)
+            )
             return store, read_all(store)
         except StoreCorrupted:
             return None, None
@@ -234,7 +257,7 @@
         if depth and crashes.random() < 0.1:
             crashed.before_change = lambda: check(crashed.after_power_loss(crashes), depth - 1)
         try:
-            store = run_sync(open_store(crashed, silent(), clock, SMALL_OPTIONS))
+            store = run_sync(open_store(crashed, silent(), clock, SMALL_OPTIONS, boot_id=clock.boot_id))
             found: State | None = read_all(store)
             allowed = [unexpired(s, store.time) for s in (acknowledged, *in_flight)]
         except StoreCorrupted as error:
@@ -250,17 +273,19 @@
     async def run() -> None:
         nonlocal disk, acknowledged
         disk.before_change = crash_now
-        store = await open_store(disk, silent(), clock, SMALL_OPTIONS)
+        store = await open_store(disk, silent(), clock, SMALL_OPTIONS, boot_id=clock.boot_id)
         for _ in range(steps):
             clock.now += rng.random()
             if rng.random() < 0.1:
                 await store.compact()
-            if rng.random() < 0.1:  # restart the process
+            if rng.random() < 0.1:  # restart the process, perhaps on another machine
                 disk.before_change = lambda: None
                 await store.close()
                 disk = disk.after_kill()
+                if rng.random() < 0.5:
+                    clock.reboot(now=rng.uniform(0.0, 2000.0))
                 disk.before_change = crash_now
-                store = await open_store(disk, silent(), clock, SMALL_OPTIONS)
+                store = await open_store(disk, silent(), clock, SMALL_OPTIONS, boot_id=clock.boot_id)
             group = [random_batch(rng) for _ in range(rng.choice([1, 1, 3]))]
             store.now()
             for changes in group:
@@ -291,7 +316,9 @@
 async def write_until_killed(folder: Path, background_sync: bool) -> None:
     """Run in the process that is killed: 16 writers, each committing one batch over three tables at a time."""
     disk = BackgroundSyncDisk(folder) if background_sync else Disk(folder)
-    store = await open_store(disk, silent(), asyncio.get_running_loop().time, Options(segment_bytes=64 * 1024))
+    store = await open_store(
+        disk, silent(), asyncio.get_running_loop().time, Options(segment_bytes=64 * 1024), boot_id=read_boot_id()
+    )
 
     async def write(writer: int) -> None:
         name = b"%d" % writer
@@ -339,7 +366,8 @@
         count.kills += 1
         on_kill()
         try:
-            store = await open_store(Disk(folder), silent(), asyncio.get_running_loop().time)
+            clock = asyncio.get_running_loop().time
+            store = await open_store(Disk(folder), silent(), clock, boot_id=read_boot_id())
         except StoreCorrupted as error:
             count.lost += 1
             count.notes.append(str(error))
--- /dev/null
+++ b/otterquay/store/clock.py
@@ -0,0 +1,74 @@
+"""Store time: the time by which entries expire. It advances with a clock and never goes back.
+
+A clock such as CLOCK_MONOTONIC counts from the boot of a machine, so two of its readings tell the time between them
+only if both are of one boot. Each record therefore has a tag of the boot that its clock reading counts from. When a
+store is opened after a reboot or on another machine, the time since its newest record is unknown. It is taken as
+none: entries may live longer than they should, never shorter.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import xxhash
+
+from otterquay.store.format import MAX_BOOT_TAG, UNKNOWN_BOOT, Timestamp
+
+
+def boot_tag(boot_id: str | None) -> int:
+    """Return the tag that records have for a boot, `UNKNOWN_BOOT` for None.
+
+    Two boots have the same tag by chance once in `MAX_BOOT_TAG` pairs.
+    """
+    if boot_id is None:
+        return UNKNOWN_BOOT
+    return 1 + xxhash.xxh3_64_intdigest(boot_id.encode()) % MAX_BOOT_TAG
+
+
+class StoreClock:
+    """Store time in ms, kept by a clock that returns seconds since the boot `boot_id`; None if that is unknown."""
+
+    def __init__(self, read: Callable[[], float], boot_id: str | None) -> None:
+        self._read = read
+        self._boot = boot_tag(boot_id)
+        self._newest = Timestamp(0, 0)  # of the last call of `now` or, before `resume`, of the newest record
+        self._has_records = False
+
+    @property
+    def time(self) -> int:
+        """Store time at the last call of `now`."""
+        return self._newest.time
+
+    @property
+    def is_boot_known(self) -> bool:
+        """Whether a later process can find out if its clock counts from the same boot."""
+        return self._boot != UNKNOWN_BOOT
+
+    def now(self) -> int:
+        """Store time: advances by as much as the clock went forward since the last call."""
+        reading = self._reading()
+        elapsed = max(reading - self._newest.clock, 0)
+        self._newest = Timestamp(self._newest.time + elapsed, reading, self._newest.boot)
+        return self._newest.time
+
+    def timestamp(self) -> Timestamp:
+        """The timestamp for a record that is written now."""
+        newest = self._newest
+        return Timestamp(newest.time, max(newest.clock, 0), newest.boot)
+
+    def replay(self, timestamp: Timestamp) -> None:
+        """Take over the timestamp of a record; called in the order of the records, before `resume`."""
+        self._newest = Timestamp(max(self._newest.time, timestamp.time), timestamp.clock, timestamp.boot)
+        self._has_records = True
+
+    def resume(self) -> bool:
+        """Go on after the replay of all records; returns whether the time since the newest one is known."""
+        is_same_boot = self.is_boot_known and self._newest.boot == self._boot
+        is_known = is_same_boot or not self._has_records
+        clock = self._newest.clock if is_known else self._reading()
+        self._newest = Timestamp(self._newest.time, clock, self._boot)
+        self.now()
+        return is_known
+
+    def _reading(self) -> int:
+        return int(self._read() * 1e3)
--- a/otterquay/store/engine.py
+++ b/otterquay/store/engine.py
@@ -8,19 +8,20 @@
 - After any write or sync error the store is read-only and reports the reason: what reached the disk is unknown, and
   a second sync that succeeds would prove nothing. Reads go on; reopening the store finds out what was written.
 - Opening truncates a torn tail (logged and counted) and rejects damage anywhere else, with file and offset.
-- Entries expire by store time, which never goes back: it advances with the clock, and a step back of the clock does
-  not change it. An expired entry does not reappear.
+- Entries expire by store time (`clock.py`), which never goes back and never runs faster than real time: it stands
+  while the clock is set back and over a reboot. An expired entry does not reappear while the store is open.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections import deque
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Iterator, Sequence
 
 from otterquay.logs import Logger
 from otterquay.ordered_set import OrderedSet
 from otterquay.store import format as fm
+from otterquay.store.clock import StoreClock
 from otterquay.store.definitions import (
     MAX_GROUP_BYTES,
     MAX_PENDING_BYTES,
@@ -46,9 +47,9 @@
 class Store:
     """An open store, created by `otterquay.store.open_store`."""
 
-    def __init__(self, files: Files, log: Logger, clock: Callable[[], float], options: Options) -> None:
+    def __init__(self, files: Files, log: Logger, clock: StoreClock, options: Options) -> None:
         self.files, self.log, self.options = files, log, options
-        self._clock = clock
+        self.clock = clock
         self.index = Index()
         self.segments: dict[int, Segment] = {}
         self.active_segment = self.sequence = 0  # number of the segment being written; of the last record
@@ -57,7 +58,6 @@
         self.truncated_bytes = 0  # torn bytes that opening cut off
         self.failed: str | None = None
         self.compaction_error: StoreCorrupted | OSError | None = None  # reason why compaction stopped
-        self.time = self.last_clock = 0  # store time and clock reading at the last call of `now`, in ms
         self.key_changes: KeyChanges = {}  # of the active segment, for its hint
         self.moved_bytes = self.written_bytes = 0
         self._pending: deque[tuple[Sequence[Change], asyncio.Future[None], int]] = deque()
@@ -72,11 +72,13 @@
 
     # --- time ---
     def now(self) -> int:
-        """Store time in ms: advances by as much as the clock went forward since the last call."""
-        clock = int(self._clock() * 1e3)
-        self.time += max(clock - self.last_clock, 0)
-        self.last_clock = clock
-        return self.time
+        """Store time in ms."""
+        return self.clock.now()
+
+    @property
+    def time(self) -> int:
+        """Store time in ms at the last call of `now`."""
+        return self.clock.time
 
     # --- reading ---
     def get(self, table: str, key: bytes) -> bytes | None:
@@ -169,7 +171,7 @@
             raise ValueError(f"a batch of about {size} bytes exceeds the limit of {fm.MAX_BATCH_BYTES}")
         # the whole store fails: dropping only this batch would break the order of the later ones
         if self._pending_bytes + size > MAX_PENDING_BYTES:
-            self._fail(OSError(f"the disk does not keep up, {self._pending_bytes} bytes are pending"), [])
+            self.fail(OSError(f"the disk does not keep up, {self._pending_bytes} bytes are pending"))
             raise StoreFailed(self.failed or "")
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._pending.append((list(changes), done, size))
@@ -251,7 +253,7 @@
                     self._finish_compaction()
                 await asyncio.sleep(0)
         except (OSError, ValueError) as error:
-            self._fail(error, [])
+            self.fail(error)
         self._finish_compaction()
 
     def _finish_compaction(self) -> None:
@@ -303,7 +305,7 @@
                     offset += len(encoded[-1])
             await self.append(fm.GROUP, b"".join(encoded))
         except (OSError, ValueError) as error:
-            return self._fail(error, [f for _, f in group])
+            return self.fail(error, [f for _, f in group])
         for name, key, place, expires_at, is_move in done:
             if place is None:
                 self.index.remove(name, key)
@@ -323,14 +325,14 @@
         """Append a record and sync it. No record is appended before the one before it is synced."""
         name, segment = segment_name(self.active_segment), self.segments[self.active_segment]
         sequence = self.sequence + (kind != fm.CLOSE)
-        data = fm.write_record(self.active_segment, kind, sequence, self.time, max(self.last_clock, 0), content)
+        data = fm.write_record(self.active_segment, kind, sequence, self.clock.timestamp(), content)
         self.files.append(name, data)
         await self.files.sync(name)
         self.sequence = sequence
         segment.size += len(data)
         self.written_bytes += len(data)
 
-    def _fail(self, error: Exception, futures: list[asyncio.Future[None]]) -> None:
+    def fail(self, error: Exception, futures: Sequence[asyncio.Future[None]] = ()) -> None:
         """Make the store read-only and fail the given and all pending batches."""
         self.failed = self.failed or f"{type(error).__name__}: {error}"
         self.log.error("store_read_only", reason=self.failed)
--- a/otterquay/store/format.py
+++ b/otterquay/store/format.py
@@ -21,13 +21,16 @@
 VERSION = 2
 RECORD_MARK = b"\xd7oqr"
 _FILE_HEADER = struct.Struct("<8sHB5xQQQ")  # magic, version, kind, zeros, number, first sequence, checksum
-_RECORD_HEADER = struct.Struct("<4sIB3xQQQQ")  # mark, length, kind, zeros, sequence, store time, clock, checksum
+_RECORD_HEADER = struct.Struct("<4sIB3sQQQQ")  # mark, length, kind, boot, sequence, store time, clock, checksum
 _ENTRY_HEADER = struct.Struct("<IBBHIQ")  # checksum, flags, table length, key length, value length, expiry
 _ENTRY_FIELDS = struct.Struct("<BBHIQ")  # an entry's header without the checksum
 _U64 = struct.Struct("<Q")
 SEGMENT, HINT, IDENTITY = 3, 4, 5  # kinds of files; version 1 used 1 and 2
 GROUP, TRIM, CLOSE, LISTING, END = 1, 2, 3, 4, 5  # kinds of records
 DELETED = 1  # flag of an entry that removes its key
+UNKNOWN_BOOT = 0
+BOOT_TAG_BYTES = 3
+MAX_BOOT_TAG = (1 << 8 * BOOT_TAG_BYTES) - 1
 HEADER_SIZE, RECORD_HEADER_SIZE, ENTRY_HEADER_SIZE = _FILE_HEADER.size, _RECORD_HEADER.size, _ENTRY_HEADER.size
 MAX_TABLE_BYTES = 255
 MAX_KEY_BYTES = 65_535
@@ -36,14 +39,25 @@
 MAX_CONTENT_BYTES = 64 * 1024 * 1024
 
 
+@dataclass(frozen=True, slots=True)
+class Timestamp:
+    """Store time and the clock's reading at one moment, in ms, and the tag of the boot that the clock counts from.
+
+    Records of earlier versions have zeros in place of the tag, which read as `UNKNOWN_BOOT`.
+    """
+
+    time: int
+    clock: int
+    boot: int = UNKNOWN_BOOT
+
+
 @dataclass(frozen=True, slots=True)
 class Record:
-    """An intact record; `time` and `clock` in ms, `start` and `end` are offsets in the file."""
+    """An intact record; `start` and `end` are offsets in the file."""
 
     kind: int
     sequence: int
-    time: int
-    clock: int
+    timestamp: Timestamp
     content: bytes
     start: int
     end: int
@@ -145,9 +159,12 @@
         offset = entry.end - record.start - RECORD_HEADER_SIZE
 
 
-def write_record(number: int, kind: int, sequence: int, time: int, clock: int, content: bytes) -> bytes:
-    """Encode a record for the file of this number; times in ms."""
-    fields = _RECORD_HEADER.pack(RECORD_MARK, len(content), kind, sequence, time, clock, 0)[:-8]
+def write_record(number: int, kind: int, sequence: int, timestamp: Timestamp, content: bytes) -> bytes:
+    """Encode a record for the file of this number."""
+    boot = timestamp.boot.to_bytes(BOOT_TAG_BYTES, "little")
+    fields = _RECORD_HEADER.pack(
+        RECORD_MARK, len(content), kind, boot, sequence, timestamp.time, timestamp.clock, 0
+    )[:-8]
     hasher = xxhash.xxh3_64(fields, number)
     hasher.update(content)
     return fields + _U64.pack(hasher.intdigest()) + content
@@ -157,7 +174,7 @@
     """Decode the record at `offset`; FormatError if it is not intact."""
     if offset + RECORD_HEADER_SIZE > len(data):
         raise FormatError(offset, "record header is truncated")
-    mark, length, kind, sequence, time, clock, checksum = _RECORD_HEADER.unpack_from(data, offset)
+    mark, length, kind, boot, sequence, time, clock, checksum = _RECORD_HEADER.unpack_from(data, offset)
     body_start = offset + RECORD_HEADER_SIZE
     end = body_start + length
     if mark != RECORD_MARK:
@@ -169,7 +186,8 @@
     hasher.update(content)
     if hasher.intdigest() != checksum:
         raise FormatError(offset, "record checksum mismatch")
-    return Record(kind, sequence, time, clock, content, offset, end)
+    timestamp = Timestamp(time, clock, int.from_bytes(boot, "little"))
+    return Record(kind, sequence, timestamp, content, offset, end)
 
 
 def records(data: bytes, number: int, offset: int = HEADER_SIZE) -> Iterator[Record]:
--- a/otterquay/store/hints.py
+++ b/otterquay/store/hints.py
@@ -9,6 +9,7 @@
 
 from otterquay.logs import Logger
 from otterquay.store import format as fm
+from otterquay.store.clock import StoreClock
 from otterquay.store.definitions import KeyChanges, Segment, StoreCorrupted, hint_name, segment_name
 from otterquay.store.files import Files
 from otterquay.store.index import Index
@@ -25,8 +26,7 @@
     segments: dict[int, Segment]
     sequence: int
     oldest: int
-    time: int
-    last_clock: int
+    clock: StoreClock
     failed: str | None
 
 
@@ -60,16 +60,13 @@
                         number,
                         fm.LISTING,
                         sequence,
-                        store.time,
-                        max(store.last_clock, 0),
+                        store.clock.timestamp(),
                         fm.write_listing(table, live, removed),
                     ),
                 )
                 await asyncio.sleep(0)
         closing = fm.write_closing(segment.size, sequence, oldest)
-        store.files.append(
-            name, fm.write_record(number, fm.END, sequence, store.time, max(store.last_clock, 0), closing)
-        )
+        store.files.append(name, fm.write_record(number, fm.END, sequence, store.clock.timestamp(), closing))
     except OSError as error:  # the store works without the hint
         store.log.warning("hint_not_written", file=name, reason=str(error))
 
@@ -110,7 +107,7 @@
     for listing, entry_places in listings:
         store.index.load(listing.table, number, listing.keys, entry_places, listing.ends, listing.removed)
     store.sequence, store.oldest = closing.sequence, max(store.oldest, closing.oldest)
-    store.time, store.last_clock = max(store.time, record.time), record.clock
+    store.clock.replay(record.timestamp)
     store.segments[number] = Segment(size, first)
     return True
 
--- a/otterquay/store/initialization.py
+++ b/otterquay/store/initialization.py
@@ -76,7 +76,7 @@
         size += len(content[-1])
         if size >= MAX_GROUP_BYTES or i == len(items) - 1:
             sequence += 1
-            files.append(name, fm.write_record(1, fm.GROUP, sequence, 0, 0, b"".join(content)))
+            files.append(name, fm.write_record(1, fm.GROUP, sequence, fm.Timestamp(0, 0), b"".join(content)))
             content, size = [], 0
     await files.sync(name)
     await files.sync_folder()
--- a/otterquay/store/recovery.py
+++ b/otterquay/store/recovery.py
@@ -17,6 +17,7 @@
 
 from otterquay.logs import Logger
 from otterquay.store import format as fm
+from otterquay.store.clock import StoreClock
 from otterquay.store.definitions import (
     IDENTITY_FILE,
     Options,
@@ -42,10 +43,13 @@
     options: Options | None = None,
     read_only: bool = False,
     hints: bool = True,
+    boot_id: str | None = None,
 ) -> Store:
     """Open a store, recovering it after a crash, or create it.
 
-    Entries expire by `clock`, which is in seconds and may start at any value.
+    Entries expire by `clock`, which is in seconds and may start at any value. `boot_id` names the boot that it
+    counts from (`read_boot_id`). The time since the newest record counts if that is of the same boot; otherwise,
+    and with None, it is unknown and taken as none.
 
     With `read_only` it takes no lock, changes nothing and returns a store without writes; a writer may be active.
     StoreFailed: another process holds the store or, with `read_only`, there is none. StoreCorrupted: the files are
@@ -55,7 +59,7 @@
         raise StoreFailed("another process holds the lock of this store")
     try:
         for attempt in range(MAX_READ_ATTEMPTS):
-            store = Store(files, log, clock, options or Options())
+            store = Store(files, log, StoreClock(clock, boot_id), options or Options())
             try:
                 if not read_only:
                     await initialize(store)
@@ -94,7 +98,9 @@
     if store.oldest < numbers[0]:
         raise StoreCorrupted(segment_name(store.oldest), 0, "the oldest segment is missing")
     store.index.recount_live_bytes()
-    store.now()
+    is_time_known = store.clock.resume()
+    if not is_time_known:
+        store.log.info("store_time_stood", store_time_ms=store.time)
     if not read_only:
         # The process may have ended between a write and its sync, or a sync may have failed and left pages that the
         # kernel takes for clean. Whatever readers see must be durable, so the newest record is rewritten in place.
@@ -110,9 +116,22 @@
             await store.append(fm.TRIM, fm.write_trim(store.oldest))
         for number in stale:
             await store.remove_segment(number)
+        if store.clock.is_boot_known and not is_time_known and not stale:
+            await _write_timestamp(store)
     store.trimmed_to = store.oldest
 
 
+async def _write_timestamp(store: Store) -> None:
+    """Write a record of this boot, so that time counts from here if the store is opened again within the boot.
+
+    Without it, entries would not age over restarts between which nothing is written.
+    """
+    try:
+        await store.append(fm.TRIM, fm.write_trim(store.oldest))
+    except OSError as error:  # as after any other failed write; reading goes on
+        store.fail(error)
+
+
 async def _replay(store: Store, number: int, last: int, read_only: bool) -> tuple[int, int]:
     """Apply all records of a segment, truncating a torn newest one; returns start and end of the last intact one.
 
@@ -135,7 +154,7 @@
             closed = record.kind == fm.CLOSE
             _apply(store, number, record)
             store.sequence, start, valid_end = record.sequence, record.start, record.end
-            store.time, store.last_clock = max(store.time, record.time), record.clock
+            store.clock.replay(record.timestamp)
     except fm.FormatError as error:
         empty_after = number == last - 1 and files.size(segment_name(last)) <= fm.HEADER_SIZE
         torn = number == last or (empty_after and valid_end)
--- a/otterquay/store/salvage.py
+++ b/otterquay/store/salvage.py
@@ -7,6 +7,7 @@
 
 from otterquay.logs import Logger
 from otterquay.store import format as fm
+from otterquay.store.clock import StoreClock
 from otterquay.store.definitions import IDENTITY_FILE, StoreFailed, segment_name
 from otterquay.store.files import Files, numbered
 from otterquay.store.recovery import MAX_READ_ATTEMPTS, open_store
@@ -18,8 +19,7 @@
 
     records: int = 0
     entries: int = 0
-    time: int = 0  # store time and clock of the newest record, ms
-    clock: int = 0
+    newest: fm.Timestamp | None = None  # of the last intact record
     damage: list[tuple[str, int, str]] = field(default_factory=list)  # file, offset, reason
     missing: list[tuple[int, int]] = field(default_factory=list)  # first and last of missing sequence numbers
 
@@ -55,7 +55,7 @@
             report.missing.append((sequence + 1, record.sequence - 1))
         sequence, at = record.sequence, record.end
         report.records += 1
-        report.time, report.clock = record.time, record.clock
+        report.newest = record.timestamp
         try:
             for entry in fm.entries(record, number) if record.kind == fm.GROUP else ():
                 report.entries += 1
@@ -65,9 +65,16 @@
     return sequence
 
 
-async def salvage(damaged: Files, destination: Files, log: Logger, clock: Callable[[], float]) -> Report:
+async def salvage(
+    damaged: Files,
+    destination: Files,
+    log: Logger,
+    clock: Callable[[], float],
+    boot_id: str | None = None,
+) -> Report:
     """Copy the intact records of a damaged store into a new one. The damaged store is not changed.
 
+    `clock` and `boot_id` are those of `open_store`.
     A missing record may have removed or replaced a key, which then has an older value; see `missing`.
     """
     report, sequence = Report(), None
@@ -81,11 +88,14 @@
 
     for number in numbered(damaged.names(), ".seg"):
         sequence = _read_segment(damaged, number, report, sequence, on_entry)
-    store = await open_store(destination, log, clock)
+    store = await open_store(destination, log, clock, boot_id=boot_id)
     if store.tables() or store.sequence:
         await store.close()
         raise StoreFailed("destination folder is not empty")
-    store.time, store.last_clock = report.time, report.clock
+    if report.newest:
+        store.clock = StoreClock(clock, boot_id)
+        store.clock.replay(report.newest)
+        store.clock.resume()
     await store.commit_entries(list(entries.values()))
     await store.close()
     return report
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -122,7 +122,8 @@
         store = None
         if self.disk is not None:
             self.disk = self.disk.after_kill()
-            store = await open_store(self.disk, silent(), asyncio.get_running_loop().time)
+            clock = asyncio.get_running_loop().time
+            store = await open_store(self.disk, silent(), clock, boot_id="rig")
         self.runtime = HttpAgent(
             self.config.model_copy(update={"agent": agent, "feeds": feeds}),
             random.Random(self.seed),
--- a/tests/test_attempts_over_restarts.py
+++ b/tests/test_attempts_over_restarts.py
@@ -9,7 +9,7 @@
 import errno
 import random
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -57,13 +57,17 @@
 
     disk: FaultDisk = field(default_factory=FaultDisk)
     clock_offset_s: float = 1000.0  # of the clock that the store reads, against the loop's
+    boot_of: Callable[[float], str | None] = "boot with offset {}".format  # what the store is told, by the offset
     sent: list[tuple[int, int, float]] = field(default_factory=list)
     restored: list[tuple[int, int, float]] = field(default_factory=list)
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
         self.disk.locked = False
-        self.store: Store = await open_store(self.disk, silent(), lambda: loop.time() + self.clock_offset_s)
+        boot_id = self.boot_of(self.clock_offset_s)
+        self.store: Store = await open_store(
+            self.disk, silent(), lambda: loop.time() + self.clock_offset_s, boot_id=boot_id
+        )
         self.state = AgentStateStore(self.store, WINDOW_MS, silent())
         _, events = self.state.recall(now_ms())
         self.restored = [a for event in events if isinstance(event, it.Restored) for a in event.attempts]
@@ -107,6 +111,19 @@
         return dict(Counter((b, c) for b, c, _ in self.restored) - Counter((b, c) for b, c, _ in self.sent))
 
 
+def one_boot(clock_offset_s: float) -> str | None:
+    """A clock that is set back within a boot."""
+    return "boot"
+
+
+def unknown_boot(clock_offset_s: float) -> str | None:
+    """A system that does not tell which boot its clock counts from."""
+    return None
+
+
+BOOTS = [Processes.boot_of, one_boot, unknown_boot]
+
+
 # --- several writes of one bin ---
 def test_a_bin_that_is_written_twice_keeps_both_parts() -> None:
     """Guards against a flush in the middle of a bin whose count the next flush of the bin replaced."""
@@ -162,11 +179,12 @@
 
 
 # --- a clock that is set back, or begins anew with the machine ---
-def test_a_clock_set_back_at_each_restart_loses_no_attempt() -> None:
+@pytest.mark.parametrize("boot_of", BOOTS)
+def test_a_clock_set_back_at_each_restart_loses_no_attempt(boot_of: Callable[[float], str | None]) -> None:
     """Guards against the same while store time stands: one bin then spans restarts that are seconds apart."""
 
     async def work() -> None:
-        processes = Processes(clock_offset_s=10 * HOUR_S)
+        processes = Processes(clock_offset_s=10 * HOUR_S, boot_of=boot_of)
         await processes.start()
         for _ in range(5):
             processes.send(2)
@@ -180,11 +198,12 @@
     run(work())
 
 
-def test_a_clock_set_back_in_a_running_process_loses_no_attempt() -> None:
+@pytest.mark.parametrize("boot_of", BOOTS)
+def test_a_clock_set_back_in_a_running_process_loses_no_attempt(boot_of: Callable[[float], str | None]) -> None:
     """Guards against a bin that store time enters once and does not leave for longer than a flush takes."""
 
     async def work() -> None:
-        processes = Processes(clock_offset_s=10 * HOUR_S)
+        processes = Processes(clock_offset_s=10 * HOUR_S, boot_of=boot_of)
         await processes.start()
         for _ in range(8):
             processes.send(2)
@@ -214,6 +233,61 @@
     run(work())
 
 
+@pytest.mark.parametrize("clock_ahead_s", [None, -100.0, 10.0])  # None: no other machine
+def test_attempts_age_over_restarts_within_one_boot(clock_ahead_s: float | None) -> None:
+    """Guards against attempts that count anew after each restart, also on a machine where nothing is written."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        processes.send(5)
+        await processes.written()
+        counted_from_ms = now_ms()
+        if clock_ahead_s is not None:
+            await sleep_ms(1000.0)
+            await processes.stop()
+            processes.clock_offset_s += clock_ahead_s
+            await processes.start()
+            counted_from_ms = now_ms()  # the time before is unknown
+        for _ in range(4):
+            await sleep_ms(900.0)
+            await processes.restart()
+            latest_ms = counted_from_ms + BIN_MS + 1.0
+            assert [at <= latest_ms for _, _, at in processes.restored] == [True] * 5
+            assert processes.lost() == processes.invented() == {}
+        await sleep_ms(WINDOW_MS)
+        await processes.restart()
+        assert processes.restored == []
+
+    run(work())
+
+
+def test_attempts_are_restored_on_another_machine_whose_disk_is_full() -> None:
+    """Guards against a start that needs space on the disk before it restores anything."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        processes.send(5)
+        await processes.written()
+        await processes.stop()
+
+        def full(operation: str, name: str) -> None:
+            if operation == "append":
+                raise OSError(errno.ENOSPC, "No space left on device")
+
+        processes.disk.fail = full
+        processes.clock_offset_s += 10.0
+        await processes.start()
+        assert processes.lost() == processes.invented() == {}
+        assert processes.store.failed and "No space left" in processes.store.failed
+        processes.kill()
+        await processes.start()
+        assert processes.lost() == processes.invented() == {} and not processes.store.failed
+
+    run(work())
+
+
 # --- kills and power losses ---
 SYNC_MS = 400.0
 
@@ -286,12 +360,17 @@
 # --- the edges of the window ---
 @pytest.mark.parametrize("offset_ms", [0.0, 0.4, 1.0, 124.7, 249.0, 249.9])
 @pytest.mark.parametrize("age_ms", [0.0, 1.0, BIN_MS, WINDOW_MS - BIN_MS, WINDOW_MS, COUNTED_MS - 0.01])
-@pytest.mark.parametrize("clock_step_s", [0.0, -HOUR_S])
-def test_an_attempt_is_restored_as_long_as_it_counts(offset_ms: float, age_ms: float, clock_step_s: float) -> None:
+@pytest.mark.parametrize(
+    ("clock_step_s", "boot_of"),
+    [(0.0, one_boot), (-HOUR_S, one_boot), (-HOUR_S, Processes.boot_of), (HOUR_S, Processes.boot_of)],
+)
+def test_an_attempt_is_restored_as_long_as_it_counts(
+    offset_ms: float, age_ms: float, clock_step_s: float, boot_of: Callable[[float], str | None]
+) -> None:
     """Guards against attempts at the edge of a bin or of the window that a restart, or the second one, forgets."""
 
     async def work() -> None:
-        processes = Processes(clock_offset_s=10 * HOUR_S)
+        processes = Processes(clock_offset_s=10 * HOUR_S, boot_of=boot_of)
         await processes.start()
         await sleep_to_bin(offset_ms)
         processes.send(3)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -592,7 +592,7 @@
         for build in range(2, 42):  # two per day for 20 days, each on its own servers
             clock[0] += HALF_DAY / 1e3
             disk = disk.after_kill()
-            store = await open_store(disk, silent(), lambda: clock[0])
+            store = await open_store(disk, silent(), lambda: clock[0], boot_id="boot")
             kept = state_store.AgentStateStore(store, 4000.0, silent())
             fleet, events = kept.recall(clock[0] * 1e3)
             if build > 2:
--- a/tests/test_state_store.py
+++ b/tests/test_state_store.py
@@ -26,6 +26,8 @@
 # and a sync that is under way then ends before the one that covers them.
 KILL_LOSS_MS = BIN_MS + 2 * SYNC_MS
 GAPS_MS = st.sampled_from((0, 7, 90, 240, 700))
+# by how many seconds the clock of another machine, or after a reboot, is ahead; None without either
+OTHER_CLOCKS = st.sampled_from((None, None, -5.0, 1.0, 2.5, 100.0))
 Traffic = list[tuple[tuple[int, int], int]]  # attempts: build and class, and the time until the next one in ms
 TRAFFIC = st.lists(st.tuples(st.sampled_from(((2, 0), (2, 1), (3, 0))), GAPS_MS), min_size=1, max_size=8)
 
@@ -55,8 +57,9 @@
     def __init__(self) -> None:
         super().__init__()
         self.loop, self.clock_offset_s = SimLoop(1), 0.0
+        self.boots = 1
         self.sent: list[Attempt] = []
-        self._restart(FaultDisk(), 0)
+        self._restart(FaultDisk(), 0, None)
 
     # --- steps ---
     @rule(traffic=TRAFFIC)
@@ -69,15 +72,22 @@
         self._send(traffic)
         self.clock_offset_s = max(self.clock_offset_s - by_s, -self.loop.now)
 
-    @rule(traffic=TRAFFIC, down_ms=GAPS_MS)
-    def traffic_then_an_orderly_end(self, traffic: Traffic, down_ms: int) -> None:
+    @rule(traffic=TRAFFIC, down_ms=GAPS_MS, other_clock=OTHER_CLOCKS)
+    def traffic_then_an_orderly_end(self, traffic: Traffic, down_ms: int, other_clock: float | None) -> None:
         self._send(traffic)
         self._run(self._flush())
         self._run(self.store.close())
-        self._restart(self.disk.after_kill(), down_ms)
-
-    @rule(traffic=TRAFFIC, down_ms=GAPS_MS, power_seed=st.none() | st.integers(0, 2**32))
-    def traffic_then_a_kill(self, traffic: Traffic, down_ms: int, power_seed: int | None) -> None:
+        self._restart(self.disk.after_kill(), down_ms, other_clock)
+
+    @rule(
+        traffic=TRAFFIC,
+        down_ms=GAPS_MS,
+        other_clock=OTHER_CLOCKS,
+        power_seed=st.none() | st.integers(0, 2**32),
+    )
+    def traffic_then_a_kill(
+        self, traffic: Traffic, down_ms: int, other_clock: float | None, power_seed: int | None
+    ) -> None:
         """A kill keeps what was written; with `power_seed` the power fails, which keeps only what was synced."""
         self._send(traffic)
         durable_until_ms = self._true_ms() - KILL_LOSS_MS
@@ -89,7 +99,7 @@
             task.cancel()
         if self.kept._timer:
             self.kept._timer.cancel()
-        self._restart(killed, down_ms)
+        self._restart(killed, down_ms, other_clock)
 
     # --- checks ---
     def _check(self, restored: it.Restored, now_ms: float) -> None:
@@ -134,13 +144,16 @@
     async def _flush(self) -> None:
         self.kept.flush()
 
-    def _restart(self, disk: FaultDisk, down_ms: int) -> None:
+    def _restart(self, disk: FaultDisk, down_ms: int, other_clock: float | None) -> None:
         self._wait(down_ms)
+        if other_clock is not None:
+            self.clock_offset_s = max(self.clock_offset_s + other_clock, -self.loop.now)
+            self.boots += 1
         self.disk = SlowDisk(sector=disk.sector)
         self.disk.files = disk.files
         self.disk.durable_names = disk.durable_names
         self.disk.name_changes = disk.name_changes
-        self.store: Store = self._run(open_store(self.disk, silent(), self._clock))
+        self.store: Store = self._run(open_store(self.disk, silent(), self._clock, boot_id=str(self.boots)))
         self.kept = AgentStateStore(self.store, WINDOW_MS, silent())
         now_ms = self._clock() * 1e3
         _, events = self.kept.recall(now_ms)
@@ -148,7 +161,7 @@
         self._check(restored[0] if restored else it.Restored((), ()), now_ms)
 
     def teardown(self) -> None:
-        self.traffic_then_an_orderly_end([], 0)
+        self.traffic_then_an_orderly_end([], 0, None)
         self._run(self.store.close())
         self.loop.close()
         assert not self.loop.program_errors
