Store commands and agent: a test that each names the boot of its machine

Without the boot nothing that lives by store time would age over a restart, which no check of the store itself can see. With the boot left out of the agent's call, of compact's or of repair's, the test of that command fails.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -15,7 +15,13 @@
 from otterquay.cli import main
 from otterquay.lab import play as play_module
 from otterquay.lab.auditor import RULES, Report
+from otterquay.logs import silent
 from otterquay.policy.agent import Agent
+from otterquay.store import Put, open_store, read_boot_id
+from otterquay.store.clock import boot_tag
+from otterquay.store.files import Disk
+from otterquay.store.format import UNKNOWN_BOOT
+from otterquay.store.salvage import verify
 
 EXAMPLES = EXAMPLE.parent
 
@@ -200,6 +206,40 @@
     run(work)
 
 
+@pytest.mark.parametrize("command", ["agent", "compact", "repair"])
+def test_commands_that_write_a_store_name_the_boot_of_this_machine(tmp_path: Path, command: str) -> None:
+    """Guards against a store whose lives stand over every restart, as no boot is known."""
+    folder, copy = tmp_path / "store", tmp_path / "copy"
+
+    async def create() -> None:
+        store = await open_store(Disk(folder), silent(), asyncio.get_running_loop().time)
+        await store.commit([Put("table", b"key", b"value", 1000.0)])
+        await store.close()
+
+    async def start_agent() -> None:
+        taken = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        address = "{}:{}".format(*taken.sockets[0].getsockname())
+        arguments = ("agent", str(EXAMPLE), "--listen", address, "--store", str(folder))
+        process = await asyncio.create_subprocess_exec(sys.executable, "-m", "otterquay", *arguments)
+        assert await process.wait() == 1, "the address is taken"
+        taken.close()
+
+    def newest_boot(of: Path) -> int:
+        report = verify(Disk(of))
+        assert report.newest and not report.damage
+        return report.newest.boot
+
+    asyncio.run(create())
+    assert newest_boot(folder) == UNKNOWN_BOOT
+    if command == "agent":
+        run(start_agent)
+    elif command == "compact":
+        assert call("store", "compact", str(folder))[0] == 0
+    else:
+        assert call("store", "repair", str(folder), "--to", str(copy))[0] == 0
+    assert newest_boot(copy if command == "repair" else folder) == boot_tag(read_boot_id()) != UNKNOWN_BOOT
+
+
 def test_lab_mass_reports_the_five_rules_and_exits_1_on_a_violation(monkeypatch: pytest.MonkeyPatch) -> None:
     arguments = (
         "lab",
