Store clock: a call of now builds no object

Since the time of the store has a module of its own, each call of now took 1,806 ns, 745 before; it takes 701 ns with three plain fields in place of a timestamp (300,000 calls, best of five). Behaviour as before: attempts over restarts, store, state store, limits and command line: 330 passed.

--- a/otterquay/store/clock.py
+++ b/otterquay/store/clock.py
@@ -31,14 +31,11 @@
     def __init__(self, read: Callable[[], float], boot_id: str | None) -> None:
         self._read = read
         self._boot = boot_tag(boot_id)
-        self._newest = Timestamp(0, 0)  # of the last call of `now` or, before `resume`, of the newest record
+        self.time = 0  # store time at the last call of `now` or, before `resume`, in the newest record
+        self._last_reading = 0  # of the clock, in ms, at that moment
+        self._last_boot = UNKNOWN_BOOT  # that the last reading counts from
         self._has_records = False
 
-    @property
-    def time(self) -> int:
-        """Store time at the last call of `now`."""
-        return self._newest.time
-
     @property
     def is_boot_known(self) -> bool:
         """Whether a later process can find out if its clock counts from the same boot."""
@@ -47,30 +44,32 @@
     def now(self) -> int:
         """Store time: advances by as much as the clock went forward since the last call."""
         reading = self._reading()
-        elapsed = max(reading - self._newest.clock, 0)
-        self._newest = Timestamp(self._newest.time + elapsed, reading, self._newest.boot)
-        return self._newest.time
+        self.time += max(reading - self._last_reading, 0)
+        self._last_reading = reading
+        return self.time
 
     def timestamp(self) -> Timestamp:
         """The timestamp for a record that is written now."""
-        newest = self._newest
-        return Timestamp(newest.time, max(newest.clock, 0), newest.boot)
+        return Timestamp(self.time, max(self._last_reading, 0), self._last_boot)
 
     def replay(self, timestamp: Timestamp) -> None:
         """Take over the timestamp of a record; called in the order of the records, before `resume`.
 
         A hint is written beside later records, so its timestamp may be newer than theirs.
         """
-        if timestamp.time >= self._newest.time:
-            self._newest = timestamp
         self._has_records = True
+        if timestamp.time >= self.time:
+            self.time = timestamp.time
+            self._last_reading = timestamp.clock
+            self._last_boot = timestamp.boot
 
     def resume(self) -> bool:
         """Go on after the replay of all records; returns whether the time since the newest one is known."""
-        is_same_boot = self.is_boot_known and self._newest.boot == self._boot
+        is_same_boot = self.is_boot_known and self._last_boot == self._boot
         is_known = is_same_boot or not self._has_records
-        clock = self._newest.clock if is_known else self._reading()
-        self._newest = Timestamp(self._newest.time, clock, self._boot)
+        if not is_known:
+            self._last_reading = self._reading()
+        self._last_boot = self._boot
         self.now()
         return is_known
 
