Store commands: one function opens a folder with the log, clock and boot of the command

The boot had to be named at four places, three of which opened a folder in nearly the same way. Compact, backup's check and the reading commands now call one function; behaviour as before.

--- a/otterquay/cli/store.py
+++ b/otterquay/cli/store.py
@@ -42,12 +42,21 @@
         sys.exit(1)
 
 
-async def _open_read_only(folder: Path) -> Store:
+async def _open(folder: Path, log_level: str, read_only: bool = False, hints: bool = True) -> Store:
     return await open_store(
-        Disk(folder), configure_logging("error", "console"), _loop_clock(), read_only=True, boot_id=read_boot_id()
+        Disk(folder),
+        configure_logging(log_level, "console"),
+        _loop_clock(),
+        read_only=read_only,
+        hints=hints,
+        boot_id=read_boot_id(),
     )
 
 
+async def _open_read_only(folder: Path, hints: bool = True) -> Store:
+    return await _open(folder, "error", read_only=True, hints=hints)
+
+
 def _print_damage(folder: Path, report: Report) -> None:
     for name, offset, reason in report.damage:
         click.echo(f"{folder / name}: offset {offset}: {reason}")
@@ -127,9 +136,7 @@
     """Rewrite the live entries of FOLDER and remove the rest. No other process may use the folder."""
 
     async def work() -> tuple[int, int]:
-        opened = await open_store(
-            Disk(folder), configure_logging("warning", "console"), _loop_clock(), boot_id=read_boot_id()
-        )
+        opened = await _open(folder, "warning")
         before = opened.total_bytes()
         await opened.compact()
         after = opened.total_bytes()
@@ -148,14 +155,7 @@
 
     async def work() -> tuple[int, int, int]:
         count, size = await backup(Disk(folder), Disk(to))
-        copy = await open_store(
-            Disk(to),
-            configure_logging("error", "console"),
-            _loop_clock(),
-            read_only=True,
-            hints=False,
-            boot_id=read_boot_id(),
-        )
+        copy = await _open_read_only(to, hints=False)
         return count, size, sum(copy.tables().values())
 
     count, size, keys = _run(folder, work())
