Store: a failed store is repaired, and counts it could not take are written

Callers saw: after one failed write of an agent's store (ENOSPC in the entry's command) the attempts under a cap that followed were gone at the next restart, so the cap was free once more, though the disk had had room for long.

Cause: Store.fail was for good, and nothing opened the store anew; AgentStateStore.flush emptied its counts and took them for written whether or not the store took the batch; and nothing told the next process that counts were missing.

Change: the store is repaired in place, tried each half second (store/repair.py): cut back to the last synced record, compaction restarted, a record written. Counts, answered keys, list and newest build stay in memory until durable and are submitted again. A file set aside while there was space is cut to nothing when the store fails (store/reserve.py), which needs none; a process that finds it so, or that cannot open its store, sends nothing to a build under a cap for as long as an attempt counts. Answers that are missing let their newest build stand for every key. It works as what the index shows was synced, so the cut loses nothing durable, and the mark goes only when all is durable and no earlier loss counts.

On the way: a spent mark is synced at the opening, as a power loss in the second process undid it (found by a test). FaultDisk stays harsher than most file systems: it wants room to write in place, so an opening fails while it is full.

--- a/otterquay/agent/http_agent.py
+++ b/otterquay/agent/http_agent.py
@@ -221,7 +221,9 @@
         store: Store | None = None,
         decider: Callable[[it.Settings, int], DecisionModule] = Agent,
         chat_key: bytes | None = None,
+        is_state_missing: bool = False,
     ) -> None:
+        """`is_state_missing`: there is a store, but it could not be opened."""
         settings, limits, back = decision_settings(service), service.limits, service.back
         appliance_protocol = HttpApplianceProtocol(
             service.agent.number, settings.report_fields, back.max_head, back.max_answer
@@ -229,6 +231,7 @@
         pool = Pool(limits.connect_timeout / 1e3, limits.keepalive / 1e3, appliance_protocol, log)
         super().__init__(settings, pool, rng, log, decider)
         self.service = service
+        self._is_state_missing = is_state_missing
         counted_ms = settings.rollout.window_ms + 2 * settings.tick_ms  # as the decision module counts attempts
         self._state_store = AgentStateStore(store, counted_ms, log) if store else None
         self.front = Front(service, self, log)
@@ -260,6 +263,8 @@
             self.gateway.feed(News(text))
 
     def _initial_events(self, now_ms: float) -> Iterator[it.Event]:
+        if self._is_state_missing:
+            yield it.AttemptsMissing()
         if self._state_store:
             fleet, events = self._state_store.recall(now_ms)
             yield from events
--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -13,13 +13,19 @@
 - Votes are stored for operators and not restored, as the evidence behind them is gone.
 
 Times are those of the store's clock; an attempt is stored at the end of its `BIN_MS` interval.
+
+When the store fails, it is repaired as soon as the disk allows, and what it could not take is written then:
+attempts first, then the stage, the list and answered keys. Votes of that time are not stored. If the process ends
+before that, the next one is told that attempts may be missing; it sends nothing to a build under a cap until they
+no longer count. If answers were missing, the newest build that gave one stands for every key.
 """
 
 from __future__ import annotations
 
 import asyncio
 import struct
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from functools import partial
 from itertools import islice
 from typing import TypeVar
 
@@ -28,7 +34,7 @@
 from otterquay import interface as it
 from otterquay.logs import Logger
 from otterquay.protocol import news
-from otterquay.store import Change, Delete, Put, Store, StoreCorrupted
+from otterquay.store import Change, Delete, Put, Store, StoreCorrupted, StoreFailed
 
 BIN_MS = 250  # the attempts of one interval are stored as one count per build and class
 LIST, STAGE, TRIED, ANSWERED, VOTES = "list", "stage", "tried", "answered", "votes"
@@ -37,6 +43,7 @@
 MAX_ANSWERED_KEYS = 2**18
 CLEAR_BATCH_KEYS = 1024  # keys removed in one turn of the event loop
 ALL_KEYS = (0).to_bytes(8)
+REPAIR_INTERVAL_S = 0.5  # between attempts to repair a failed store
 MAX_UNREADABLE_RECORDS = 16  # of a table; the rest is left out, as a failing disk may take seconds for each
 
 T = TypeVar("T")
@@ -47,13 +54,24 @@
 
     def __init__(self, store: Store, window_ms: float, log: Logger) -> None:
         self._store, self._window_ms, self._log = store, window_ms, log
-        self._bin: dict[bytes, int] = {}  # attempts since the last flush, by key
-        self._written: dict[bytes, int] = {}  # counts in the store of bins that have not ended, by key
+        self._bin: dict[bytes, int] = {}  # attempts since the last flush, or not taken by the store, by key
+        # counts handed to the store of bins that have not ended or are not durable, by key
+        self._written: dict[bytes, int] = {}
+        self._flushes: dict[bytes, int] = {}  # writes that wait for the disk, by key
         self._timer: asyncio.TimerHandle | None = None
         self._build = 0
         self._vote_count = self._all_keys_build = 0  # votes cast; the build that answered all keys
         self._stored_list: dict[int, news.Entry] = {}
+        self._is_list_known = False  # whether this process has received a list
         self._unwritten_answers: dict[bytes, int] = {}  # builds in records that wait for the disk, by key
+        self._noted_build = 0  # the newest build that is known on the disk to have given answers that are missing
+        self._released_build = 0  # keys answered by builds up to this one are released
+        self._is_in_doubt = False  # attempts of an earlier process that still count may be missing
+        self._lacks_writes = False  # the store has not taken all that this process had for it
+        self._rewriting: asyncio.Task[None] | None = None
+        store.listeners.append(self)
+        if store.failed:
+            self.store_failed()
 
     # --- restoring ---
     def recall(self, now_ms: float) -> tuple[news.FleetNews | None, list[it.Event]]:
@@ -75,10 +93,35 @@
         attempts = self._stored_attempts(now_ms)
         answered = self._readable(ANSWERED, lambda key, value: (int.from_bytes(key), int(value)))
         self._all_keys_build = dict(answered).get(0, 0)
+        if self._store.was_incomplete:
+            answered += self._missing_answers()
+            self._doubt()
+            events.append(it.AttemptsMissing())
+        elif not self._store.failed:
+            self._store.request_reserve()
         if attempts or answered:
             events.append(it.Restored(tuple(attempts), tuple(answered)))
         return fleet, events
 
+    def _missing_answers(self) -> list[tuple[int, int]]:
+        """Let the newest build whose answers are missing stand for every key, as it is not known for which."""
+        build = max(self._store.reserve.numbers(), default=0)
+        self._noted_build = build
+        if build <= self._all_keys_build:
+            return []
+        self._all_keys_build = build
+        self._write_answer(ALL_KEYS, build)
+        return [(0, build)]
+
+    def _doubt(self) -> None:
+        """Keep the mark until what may be missing no longer counts: this process may end before."""
+        self._is_in_doubt = True
+        asyncio.get_running_loop().call_later(self._window_ms / 1e3, self._end_doubt)
+
+    def _end_doubt(self) -> None:
+        self._is_in_doubt = False
+        self._declare_complete()
+
     def _readable(self, table: str, decode: Callable[[bytes, bytes], T]) -> list[T]:
         """Decode the key and value of each record of a table, without those that cannot be read."""
         decoded: list[T] = []
@@ -109,6 +152,7 @@
     # --- storing ---
     def list(self, entries: Mapping[int, news.Entry]) -> None:
         """Store the changes of the server list since the last call."""
+        self._is_list_known = True
         changes: list[Change] = [
             Delete(LIST, server.to_bytes(8)) for server in self._stored_list if server not in entries
         ]
@@ -124,6 +168,8 @@
     def stage(self, stage: it.StageNews) -> None:
         """Store the newest build; a build that is rolled back releases the keys that it answered."""
         back = stage.phase in (it.Phase.GOING_BACK, it.Phase.WITHDRAWN)
+        if not back:
+            self._released_build = min(self._released_build, stage.build - 1)
         if back or stage.build > self._build:
             self._all_keys_build = 0
             self._release_keys(stage.build if back else stage.build - 1)
@@ -133,6 +179,7 @@
 
     def _release_keys(self, build: int) -> None:
         """Remove keys answered by builds up to this one, also those whose records wait for the disk."""
+        self._released_build = max(self._released_build, build)
         unwritten = [key for key, answered_by in self._unwritten_answers.items() if answered_by <= build]
         for start in range(0, len(unwritten), CLEAR_BATCH_KEYS):  # all of them may exceed a store batch
             batch = unwritten[start : start + CLEAR_BATCH_KEYS]
@@ -174,18 +221,115 @@
         A bin may be written several times: by flushes in the middle of it, by processes that follow one another
         within it, and for as long as store time stands.
         """
+        self._submit_attempts()
+
+    def _submit_attempts(self) -> asyncio.Future[None] | None:
+        """Like `flush`; returns what is done once the attempts are durable, None if nothing was submitted."""
         if self._timer:
             self._timer.cancel()
             self._timer = None
-        if self._bin:
-            counts = {key: self._written.get(key, 0) + count for key, count in self._bin.items()}
-            retention_s = (self._window_ms + 4 * BIN_MS) / 1e3
-            self._store.submit([Put(TRIED, key, b"%d" % count, retention_s) for key, count in counts.items()])
-            self._bin = {}
-            now = self._store.now()
-            self._written = {
-                key: count for key, count in (self._written | counts).items() if _TRIED.unpack(key)[0] > now
-            }
+        added = self._bin
+        if not added:
+            return None
+        counts = {key: self._written.get(key, 0) + count for key, count in added.items()}
+        retention_s = (self._window_ms + 4 * BIN_MS) / 1e3
+        written = self._store.submit([Put(TRIED, key, b"%d" % count, retention_s) for key, count in counts.items()])
+        if written is None:
+            self._forget_ended(retention_s * 1e3)
+            return None
+        self._bin = {}
+        self._written |= counts
+        for key in added:
+            self._flushes[key] = self._flushes.get(key, 0) + 1
+        written.add_done_callback(partial(self._flushed, added))
+        return written
+
+    def _flushed(self, added: Mapping[bytes, int], written: asyncio.Future[None]) -> None:
+        """Forget counts of bins that have ended; counts that were not written are written with the next flush."""
+        is_lost = written.exception() is not None
+        now = self._store.now()
+        for key, count in added.items():
+            self._flushes[key] -= 1
+            if is_lost:
+                self._bin[key] = self._bin.get(key, 0) + count
+                self._written[key] -= count
+            if not self._flushes[key]:
+                del self._flushes[key]
+        self._written = {
+            key: count
+            for key, count in self._written.items()
+            if key in self._bin or key in self._flushes or _TRIED.unpack(key)[0] > now
+        }
+
+    def _forget_ended(self, retention_ms: float) -> None:
+        """Drop the attempts, kept for a store that takes no writes, that would have ended there."""
+        oldest = self._store.now() - retention_ms
+        self._bin = {key: count for key, count in self._bin.items() if _TRIED.unpack(key)[0] > oldest}
+
+    # --- a store that fails and is repaired ---
+    def store_failed(self) -> None:
+        """Note on the disk that answers are missing, and try to repair the store until that succeeds."""
+        self._lacks_writes = True
+        if self._unwritten_answers:
+            self._note_missing_answer(max(self._unwritten_answers.values()))
+        asyncio.get_running_loop().call_later(REPAIR_INTERVAL_S, self._repair)
+
+    def _repair(self) -> None:
+        if self._store.failed and self._store.is_repairable:
+            self._store.start_repair()
+            asyncio.get_running_loop().call_later(REPAIR_INTERVAL_S, self._repair)
+
+    def store_repaired(self) -> None:
+        """Write what the store could not take."""
+        self._rewriting = asyncio.get_running_loop().create_task(self._rewrite())
+
+    async def _rewrite(self) -> None:
+        try:
+            if attempts := self._submit_attempts():
+                await attempts
+            for batch in self._state_batches():
+                await self._store.commit(batch)
+            self._clear(self._released_build)
+            await self._rewrite_answers()
+        except StoreFailed:
+            return  # it is repaired again
+        except (OSError, StoreCorrupted, ValueError) as error:  # the mark stays
+            self._log.warning("state_not_rewritten", reason=f"{type(error).__name__}: {error}")
+            return
+        self._lacks_writes = False
+        self._declare_complete()
+
+    async def _rewrite_answers(self) -> None:
+        records = list(self._unwritten_answers.items())
+        for start in range(0, len(records), CLEAR_BATCH_KEYS):
+            written = [self._write_answer(*record) for record in records[start : start + CLEAR_BATCH_KEYS]]
+            await asyncio.gather(*(future for future in written if future))
+
+    def _state_batches(self) -> Iterator[Sequence[Change]]:
+        """The newest build, and the server list whole."""
+        if self._build > 0:
+            yield [Put(STAGE, b"", b"%d" % self._build)]
+        if self._is_list_known:
+            entries = {server.to_bytes(8): entry for server, entry in self._stored_list.items()}
+            with self._store.view() as view:
+                gone = [Delete(LIST, key) for key in view.keys(LIST) if key not in entries]
+            puts = [Put(LIST, key, msgspec.json.encode(entry)) for key, entry in entries.items()]
+            yield [*gone, *puts]
+
+    def _declare_complete(self) -> None:
+        """Remove the mark that writes are missing, unless some are, or those of an earlier process still count."""
+        if not self._lacks_writes and not self._is_in_doubt:
+            self._noted_build = 0
+            self._store.declare_complete()
+
+    def _note_missing_answer(self, build: int) -> None:
+        if build <= self._noted_build:
+            return
+        try:
+            self._store.reserve.note(build)
+            self._noted_build = build
+        except OSError as error:
+            self._log.error("missing_answer_not_noted", build=build, reason=str(error))
 
     def answered(self, key: int, build: int, capped: bool) -> None:
         """Record the build that answered a keyed request under one-way releases; `capped`: it is on trial."""
@@ -212,16 +356,20 @@
             self._log.warning("answered_key_unreadable", reason=f"{type(error).__name__}: {error}")
             return 0
 
-    def _write_answer(self, record_key: bytes, build: int) -> None:
-        """Write a record that readers of the store see only once it is synced."""
+    def _write_answer(self, record_key: bytes, build: int) -> asyncio.Future[None] | None:
+        """Write a record that readers of the store see only once it is synced; one that fails is written again."""
 
-        def done(_: asyncio.Future[None]) -> None:
-            if self._unwritten_answers.get(record_key) == build:
+        def done(written: asyncio.Future[None]) -> None:
+            if written.exception() is None and self._unwritten_answers.get(record_key) == build:
                 del self._unwritten_answers[record_key]
 
-        if written := self._store.submit([Put(ANSWERED, record_key, b"%d" % build)]):
-            self._unwritten_answers[record_key] = build
+        self._unwritten_answers[record_key] = build
+        written = self._store.submit([Put(ANSWERED, record_key, b"%d" % build)])
+        if written:
             written.add_done_callback(done)
+        else:
+            self._note_missing_answer(build)
+        return written
 
     def voted(self, vote: it.CastVote) -> None:
         """Record a vote."""
--- a/otterquay/chat/session_store.py
+++ b/otterquay/chat/session_store.py
@@ -1,7 +1,8 @@
 """Persistence of chat sessions over a restart: writes the hub's records to tables of the store and loads them.
 
 Writes are asynchronous, and nothing waits for the disk: a session or command whose record was not yet durable is
-lost in a restart, as all are without a store. To keep a command from running twice, a restored session answers
+lost in a restart, as all are without a store. After the first record that the store did not take, none is written:
+later ones would not fit those on the disk. To keep a command from running twice, a restored session answers
 `unknown` to a command of before the restart that its records do not answer, and never runs it again.
 """
 
@@ -23,6 +24,7 @@
 
     def __init__(self, store: Store, log: Logger) -> None:
         self._store, self._log = store, log
+        self._lacks_records = False  # a record was lost
 
     def load(self, new_incarnation: int) -> StoredSessions:
         """Load all records, and the incarnation that their tokens name.
@@ -32,7 +34,7 @@
         try:
             incarnation = self._store.get(INCARNATION_TABLE, b"life")
             if incarnation is None:
-                self._store.submit([Put(INCARNATION_TABLE, b"life", new_incarnation.to_bytes(8))])
+                self._submit([Put(INCARNATION_TABLE, b"life", new_incarnation.to_bytes(8))])
                 return StoredSessions(new_incarnation, {})
             sessions: dict[int, tuple[StoredSession, dict[str, StoredEntry]]] = {}
             for key, value in self._store.scan(SESSION_TABLE):
@@ -60,17 +62,34 @@
                 changes = [Delete(ENTRY_TABLE, session_key + action.id.encode())]
             case None:
                 return self._remove(action.session)
-        self._store.submit(changes)
+        self._submit(changes)
+
+    def _submit(self, changes: list[Change]) -> asyncio.Future[None] | None:
+        written = None if self._lacks_records else self._store.submit(changes)
+        if written:
+            written.add_done_callback(self._written)
+        else:
+            self._stop_writing()
+        return written
+
+    def _written(self, written: asyncio.Future[None]) -> None:
+        if written.exception():
+            self._stop_writing()
+
+    def _stop_writing(self) -> None:
+        if not self._lacks_records:
+            self._lacks_records = True
+            self._log.warning("chat_no_longer_stored")
 
     def _remove(self, session: int) -> None:
         """Remove a session and its entries, also those that wait for the disk and are not listed yet."""
 
         def remove_late_entries(_: asyncio.Future[None]) -> None:
             if removals := self._entry_removals(session):
-                self._store.submit(removals)
+                self._submit(removals)
 
         changes = [Delete(SESSION_TABLE, session.to_bytes(8)), *self._entry_removals(session)]
-        if removed := self._store.submit(changes):
+        if removed := self._submit(changes):
             removed.add_done_callback(remove_late_entries)
 
     def _entry_removals(self, session: int) -> list[Change]:
--- a/otterquay/cli/root.py
+++ b/otterquay/cli/root.py
@@ -168,7 +168,8 @@
                 # `otterquay store repair` recovers
                 log.error("store_not_taken", folder=service.agent.store, reason=str(error))
         try:
-            runtime = HttpAgent(service, rng, log, key, store, chat_key=chat_key)
+            is_state_missing = service.agent.store is not None and store is None
+            runtime = HttpAgent(service, rng, log, key, store, chat_key=chat_key, is_state_missing=is_state_missing)
             if service.group:
                 from otterquay.fleet.build import attach  # imports numpy, so only where it is needed
 
--- a/otterquay/interface.py
+++ b/otterquay/interface.py
@@ -386,6 +386,11 @@
     answered: tuple[tuple[int, int], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptsMissing:
+    """Attempts under a cap may be missing from what was restored, though they still count."""
+
+
 Event = (
     Started
     | ServerList
@@ -400,6 +405,7 @@
     | Tally
     | Complaint
     | Restored
+    | AttemptsMissing
 )
 
 
--- a/otterquay/policy/rules.py
+++ b/otterquay/policy/rules.py
@@ -29,19 +29,20 @@
             return None
         return 0.0 if self.stage_news.phase is it.Phase.WITHDRAWN else self.stage_news.cap
 
-    def _exposure(self, build: int, cls: int, together: bool) -> tuple[int, int]:
-        """Return the attempts at a build and the requests within the exposure window, of one or of all classes.
+    def _attempt_window_ms(self) -> float:
+        """Return how long an attempt counts: for longer than the window, whose edges fall between ticks."""
+        return self.rollout.window_ms + 2 * self.settings.tick_ms
 
-        The edges of the window fall between ticks, so attempts are counted over a slightly longer window than
-        requests.
-        """
+    def _exposure(self, build: int, cls: int, together: bool) -> tuple[int, int]:
+        """Return the attempts at a build and the requests within the exposure window, of one or of all classes."""
         window, tick, classes = (
             self.rollout.window_ms,
             self.settings.tick_ms,
             range(self.class_count) if together else [cls],
         )
         attempts = sum(
-            count_recent(self.attempt_times.get((build, c), []), self.now - window - 2 * tick) for c in classes
+            count_recent(self.attempt_times.get((build, c), []), self.now - self._attempt_window_ms())
+            for c in classes
         )
         return attempts, sum(count_recent(self.request_times[c], self.now - window + 4 * tick) for c in classes)
 
@@ -49,6 +50,8 @@
         """Whether rule 5 forbids the build for this request; the same holds for every server of the build."""
         if (cap := self._cap(build)) is None:
             return False
+        if self.now < self.exposure_known_from:
+            return True
         stage, safe = self.stage_news.stage if build == self.stage_news.build else 0, it.Effect.SAFE
         guarded = stage < self.rollout.guarded_stages and self.settings.classes[pending.cls].effect is not safe
         attempts, requests = self._exposure(build, pending.cls, not self.rollout.per_class)
--- a/otterquay/policy/state.py
+++ b/otterquay/policy/state.py
@@ -132,6 +132,8 @@
         self.in_flight: dict[tuple[int, int], Attempt] = {}
         # Times of the attempts by (build, class).
         self.attempt_times = dict[tuple[int, int], list[float]]()
+        # Until then attempts of an earlier process may count that no store kept.
+        self.exposure_known_from = -math.inf
         self.request_times = [list[float]() for _ in settings.classes]
         # Times of good answers, and of sends to cold servers.
         self.success_times, self.cold_send_times = (
--- a/otterquay/policy/updates.py
+++ b/otterquay/policy/updates.py
@@ -67,3 +67,7 @@
             self.attempt_times.setdefault((build, cls), []).append(sent_at)
         self.key_builds.update(kept.answered)
         self.any_key_build = max(self.any_key_build, self.key_builds.pop(0, 0))
+
+    def _attemptsmissing(self, _: it.AttemptsMissing) -> None:
+        """Forbid what is under a cap until the attempts that are not known no longer count."""
+        self.exposure_known_from = self.now + self._attempt_window_ms()
--- a/otterquay/store/engine.py
+++ b/otterquay/store/engine.py
@@ -6,7 +6,9 @@
 - Batches are atomic, and are applied in the order in which they were submitted.
 - Readers see a batch once it is synced, never part of it; a view sees the state at the time it was opened.
 - After any write or sync error the store is read-only and reports the reason: what reached the disk is unknown, and
-  a second sync that succeeds would prove nothing. Reads go on; reopening the store finds out what was written.
+  a second sync that succeeds would prove nothing. Reads go on. `start_repair` discards what was not synced and
+  makes the store writable again (`repair.py`); a mark on the disk tells later processes that writes are missing
+  (`reserve.py`), until `declare_complete` removes it.
 - Opening truncates a torn tail (logged and counted) and rejects damage anywhere else, with file and offset.
 - Entries expire by store time (`clock.py`), which never goes back and never runs faster than real time: it stands
   while the clock is set back and over a reboot. An expired entry does not reappear while the store is open.
@@ -17,6 +19,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Iterator, Sequence
+from typing import Protocol
 
 from otterquay.logs import Logger
 from otterquay.ordered_set import OrderedSet
@@ -41,9 +44,23 @@
 from otterquay.store.files import Files
 from otterquay.store.hints import write_hint
 from otterquay.store.index import Index, Undo, pack_place, unpack_place
+from otterquay.store.repair import repair_log
+from otterquay.store.reserve import Reserve
 from otterquay.store.view import View
 
 
+class StoreListener(Protocol):
+    """Is told when a store fails and when it is writable again."""
+
+    def store_failed(self) -> None:
+        """All batches that wait have failed, and no more are taken."""
+        ...
+
+    def store_repaired(self) -> None:
+        """Batches are taken again; those that failed are not stored."""
+        ...
+
+
 class Store:
     """An open store, created by `otterquay.store.open_store`."""
 
@@ -57,6 +74,10 @@
         self.trimmed_to = 1  # oldest segment by the newest durable TRIM; open views keep segments before `oldest`
         self.truncated_bytes = 0  # torn bytes that opening cut off
         self.failed: str | None = None
+        self.is_repairable = True  # not if it was opened read-only or is closed
+        self.reserve = Reserve(files, log)
+        self.was_incomplete = False  # whether, when it was opened, writes of an earlier process were missing
+        self.listeners: list[StoreListener] = []
         self.compaction_error: StoreCorrupted | OSError | None = None  # reason why compaction stopped
         self.key_changes: KeyChanges = {}  # of the active segment, for its hint
         self.moved_bytes = self.written_bytes = 0
@@ -69,6 +90,7 @@
         self._compaction_waiters: list[asyncio.Future[None]] = []
         self._removable_segments: list[int] = []
         self._last_group_bytes = 0
+        self._is_reserve_requested = False
 
     # --- time ---
     def now(self) -> int:
@@ -200,6 +222,7 @@
         """Write all pending batches, then close the files."""
         while self._writer and not self._writer.done():
             await asyncio.wait([self._writer])
+        self.is_repairable = False
         self.failed = self.failed or "closed"
         for task in self._hint_tasks:
             task.cancel()
@@ -237,6 +260,7 @@
             while not self.failed and (
                 self._pending
                 or self._needs_compaction()
+                or self._is_reserve_requested
                 or (self._removable_segments and not self.index.open_views)
             ):
                 await self._write_group()
@@ -251,6 +275,9 @@
                     await self._roll_segment()
                 if self._compaction_waiters and (self.compaction_error or self.oldest > self._compact_up_to):
                     self._finish_compaction()
+                if self._is_reserve_requested and not self._pending:
+                    self._is_reserve_requested = False
+                    await self.reserve.restore()
                 await asyncio.sleep(0)
         except (OSError, ValueError) as error:
             self.fail(error)
@@ -334,6 +361,7 @@
 
     def fail(self, error: Exception, futures: Sequence[asyncio.Future[None]] = ()) -> None:
         """Make the store read-only and fail the given and all pending batches."""
+        had_failed = self.failed is not None
         self.failed = self.failed or f"{type(error).__name__}: {error}"
         self.log.error("store_read_only", reason=self.failed)
         for future in [*futures, *(f for _, f, _ in self._pending)]:
@@ -341,6 +369,46 @@
                 future.set_exception(StoreFailed(self.failed))
         self._pending.clear()
         self._pending_bytes = 0
+        if not had_failed:
+            self._is_reserve_requested = False
+            self.reserve.spend()
+            for listener in self.listeners:
+                listener.store_failed()
+
+    # --- after a failure ---
+    def request_reserve(self) -> None:
+        """Set the space for the mark aside after the next write, if it is not there."""
+        self._is_reserve_requested = True
+
+    def declare_complete(self) -> None:
+        """Remove the mark that writes are missing, once all batches submitted so far are durable."""
+        if not self.failed:
+            self.request_reserve()
+            self._ensure_writer()
+
+    def start_repair(self) -> None:
+        """Try to make a failed store writable again, in the background; the listeners are told when it is."""
+        is_writing = self._writer is not None and not self._writer.done()
+        if self.failed and self.is_repairable and not is_writing:
+            self._writer = asyncio.get_running_loop().create_task(self._run_repair())
+
+    async def _run_repair(self) -> None:
+        try:
+            await repair_log(self)
+        except OSError as error:
+            self.log.debug("store_not_repaired", reason=str(error))
+            return
+        self.failed = None
+        self.log.warning("store_writable_again")
+        for listener in self.listeners:
+            listener.store_repaired()
+        await self._run_writer()
+
+    def restart_compaction(self) -> None:
+        """Begin compaction again at the oldest segment that the log needs."""
+        self._compaction_cursor = None
+        self._removable_segments = []
+        self.oldest = self.trimmed_to
 
     async def _roll_segment(self) -> None:
         """Start the next segment, then close this one: the CLOSE requires that the next segment is durable."""
--- a/otterquay/store/files.py
+++ b/otterquay/store/files.py
@@ -155,7 +155,8 @@
     """A disk whose files are synced by a subprocess, so that syncs do not block the event loop.
 
     The subprocess keeps each file open from its first sync on: the kernel reports a write error since then once, to
-    that descriptor. If the subprocess ends unexpectedly, all later syncs fail, and with them the store.
+    that descriptor. If the subprocess ends unexpectedly, the sync fails, and with it the store; the next sync, one
+    of the store's repair, starts another one.
     """
 
     def __init__(self, folder: Path) -> None:
@@ -179,9 +180,12 @@
             requests.write(line.encode() + b"\n")
             answer = await responses.readline()
         except (ConnectionError, RuntimeError) as error:
+            self._sync_process = None
             raise OSError(f"sync subprocess has ended: {error}") from None
         if answer != b"0\n":
             code = int(answer or b"0")
+            if not code:
+                self._sync_process = None
             raise OSError(code, os.strerror(code)) if code else OSError("sync subprocess has ended")
 
     async def sync(self, name: str) -> None:
--- a/otterquay/store/recovery.py
+++ b/otterquay/store/recovery.py
@@ -65,15 +65,21 @@
                     await initialize(store)
                 elif IDENTITY_FILE not in files.names():
                     raise StoreFailed("folder has no store of this version")
+                store.was_incomplete = store.reserve.is_spent()
                 await _recover(store, read_only, hints)
+                if store.was_incomplete and not read_only:
+                    await store.reserve.sync()
                 break
             except (StoreCorrupted, FileNotFoundError):  # a writer may roll or remove segments meanwhile
                 if not read_only or attempt == MAX_READ_ATTEMPTS - 1:
                     raise
-    except BaseException:
+    except BaseException as error:
+        if isinstance(error, OSError) and not read_only:  # what the process does without the store is not stored
+            store.reserve.spend()
         await files.close()
         raise
     if read_only:
+        store.is_repairable = False
         store.failed = "opened read-only"
     return store
 
--- a/tests/test_chat_session_store.py
+++ b/tests/test_chat_session_store.py
@@ -57,3 +57,23 @@
         assert store.tables() == {"chat.entry": 1, "x": 1}
 
     simulate(work(), 1)
+
+
+def test_nothing_is_stored_after_a_record_that_the_store_did_not_take() -> None:
+    """Guards against entries of a session whose own record is missing, which would stay for ever."""
+
+    async def work() -> None:
+        disk = FaultDisk()
+        store, sessions = await store_with_a_session(disk)
+        disk.capacity = 0
+        sessions.save(Persist(SESSION + 2, "", StoredSession("tenant", "name", "player", [1])))
+        await asyncio.sleep(0.1)
+        assert store.failed
+        disk.capacity = None
+        store.start_repair()
+        await asyncio.sleep(0.1)
+        sessions.save(Persist(SESSION + 2, "written", StoredEntry("text")))
+        await store.commit([Put("x", b"", b"")])
+        assert store.tables() == {"chat.entry": 2, "chat.session": 1, "x": 1}
+
+    simulate(work(), 1)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -300,6 +300,26 @@
     assert trial_sends(False) == 3 and trial_sends(True) == 0
 
 
+def test_nothing_under_a_cap_is_sent_while_attempts_that_count_may_be_missing() -> None:
+    driver = AgentDriver(settings(rollout={"free": 3.0, "stage_cap": (0.1, 1.0)}), servers=0)
+    driver.deliver(it.AttemptsMissing())
+    driver.deliver(it.StageNews(2, 0, it.Phase.TRIAL, False, it.Status.OK, 0.1, 0.0))
+    driver.update_list(entry(1, build=2))
+    window_ms = driver.agent.rollout.window_ms + 2 * driver.agent.settings.tick_ms
+    driver.now += window_ms - 1.0
+    assert sends(driver.ask()[1]) == []
+    driver.now += 2.0
+    assert sends(driver.ask()[1])
+
+
+def test_builds_under_no_cap_are_served_while_attempts_may_be_missing() -> None:
+    driver = AgentDriver(settings(rollout={"free": 3.0, "stage_cap": (0.1, 1.0)}), servers=0)
+    driver.deliver(it.AttemptsMissing())
+    driver.deliver(it.StageNews(2, 0, it.Phase.TRIAL, False, it.Status.OK, 0.1, 0.0))
+    driver.update_list(entry(1, build=1))
+    assert sends(driver.ask()[1])
+
+
 def test_a_key_answered_before_a_restart_goes_to_no_earlier_build_until_the_build_goes_back() -> None:
     driver = AgentDriver(settings(rollout={"one_way": True, "stage_cap": (1.0, 1.0)}), servers=0)
     driver.deliver(it.Restored((), ((77, 2),)))
