Planned end: count from when the loop last ran before SIGTERM

Cause: the agent counts the 1.65 s of its planned end from when it handles SIGTERM. If it is stopped, or its loop held up, that is later than SIGTERM was sent, and SIGKILL comes 1.70 s after that.

Change: the time counts from the last heartbeat of the loop before the signal; one that was late, or is 10 ms old, does not count as before it. The signal cannot have come earlier, as the loop would have handled it. Without a stop that is at most 0.11 s, which the linger of 0.5 s has to spare (new connections come for 0.4 s). The soak's check and its time of SIGKILL are unchanged; its docstring said that a stop puts SIGKILL off, which holds only for stops that are over by then.

--- a/otterquay/lab/soak/day.py
+++ b/otterquay/lab/soak/day.py
@@ -178,7 +178,8 @@
     async def _end(self, agent: AgentProcess, series: tuple[events.Step, ...]) -> None:
         """Send a series of signals, then SIGKILL as early as the protocol page allows; wait for the end.
 
-        While the process is stopped, the time to SIGKILL stands still: SIGTERM reaches it when it continues.
+        A stop that is over with the last signal puts SIGKILL off by its length. One that still lasts does not, as a
+        supervisor's clock goes on while a process is stopped.
         """
         if not agent.is_ready():
             return
--- a/otterquay/node/__main__.py
+++ b/otterquay/node/__main__.py
@@ -38,8 +38,12 @@
         except ConfigError as error:
             log.error("reload_refused", reason=str(error))
 
-    loop.add_signal_handler(signal.SIGTERM, ended.set)
-    loop.add_signal_handler(signal.SIGINT, ended.set)
+    def end() -> None:
+        node.note_end_signal()
+        ended.set()
+
+    loop.add_signal_handler(signal.SIGTERM, end)
+    loop.add_signal_handler(signal.SIGINT, end)
     loop.add_signal_handler(signal.SIGHUP, reload_config)
     if {signal.SIGTERM, signal.SIGINT} & set(EARLY_SIGNALS):
         return log.info("ended_before_start")
--- a/otterquay/node/agent.py
+++ b/otterquay/node/agent.py
@@ -9,7 +9,7 @@
 
 from otterquay import interface as it
 from otterquay.agent.connection_pool import Pool
-from otterquay.agent.lifecycle import DRAIN_POLL_S
+from otterquay.agent.lifecycle import DRAIN_POLL_S, Phase
 from otterquay.agent.ports import Ports
 from otterquay.agent.runtime import DecisionModule, Runtime
 from otterquay.logs import Logger
@@ -73,6 +73,7 @@
         )
         super().__init__(settings, pool, rng, log, decider)
         self._config = config
+        self._end_requested_at: float | None = None
         self.front = Front(config.listen, settings, self, clients, int(config.sockets * SHED_SOCKET_SHARE), log)
         self.list = DiscoveryPoller(config.discovery, config.zones, config.kinds, self, rng, wall, log)
         self.platform = PlatformClient(config.platform, config.news, self, rng, log)
@@ -107,13 +108,26 @@
         self.list.set_address(config.discovery)
         self.platform.set_address(config.platform)
 
+    def note_end_signal(self) -> None:
+        """Note that a signal asks for the end.
+
+        It may have waited for the process to run. SIGKILL does not wait for that, so the shutdown counts its time
+        from when the event loop last ran before the signal.
+        """
+        if self.phase is Phase.ACCEPTING and self._end_requested_at is None:
+            now = self._now()
+            self._end_requested_at = now - self.front.stall_detector.max_signal_wait_s(now)
+
     async def shut_down(self) -> None:
         """Shut down before SIGKILL is due: accept requests for LINGER_S, then drain those that are still open.
 
-        The listener stays for `shutdown_time_s`, also when nothing is open any more.
+        The listener stays for `shutdown_time_s` after the signal, also when nothing is open any more, and for
+        LINGER_S at least.
         """
-        remaining_s = shutdown_time_s(self.settings)
-        self.drain_until = self._now() + remaining_s
+        now = self._now()
+        waited_s = 0.0 if self._end_requested_at is None else now - self._end_requested_at
+        remaining_s = max(shutdown_time_s(self.settings) - waited_s, LINGER_S)
+        self.drain_until = now + remaining_s
         self.log.info("agent_leaving", held=len(self.open_requests), within_s=remaining_s)
         await asyncio.sleep(LINGER_S)
         await self.stop(remaining_s - LINGER_S)
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -12,6 +12,7 @@
 from otterquay import interface as it
 from otterquay.agent.lifecycle import DRAIN_POLL_S, Phase
 from otterquay.agent.sockets import has_unread_data
+from otterquay.agent.stall_detector import HEARTBEAT_S
 from otterquay.node.agent import FLUSH_S, LINGER_S, shutdown_time_s
 from otterquay.node.client import State
 from otterquay.node.front import QUIET_PERIOD_S
@@ -19,6 +20,7 @@
 from tests.crossings.forcing import (
     LOOPS,
     STEP_CLOCK,
+    StepClockLoop,
     front_clock_at,
     hold_requests,
     open_idle_connections,
@@ -144,6 +146,46 @@
     run(work)
 
 
+@pytest.mark.parametrize("does_loop_run_first", [False, True])
+@pytest.mark.parametrize("since_heartbeat_s", [0.0, 0.05, 0.099])
+@pytest.mark.parametrize("stopped_s", [0.0, 0.05, 0.15, 0.4, 0.8, 5.0])
+def test_connections_in_use_to_the_last_are_answered_before_sigkill_though_the_process_was_stopped(
+    stopped_s: float, since_heartbeat_s: float, does_loop_run_first: bool
+) -> None:
+    """Guards against a shutdown that counts from when a stopped process runs again; SIGKILL counts from SIGTERM."""
+
+    async def work() -> None:
+        classes = [{**CLASSES[0], "deadlineMs": 1000.0, "onTimeMs": 500.0}]
+        async with Rig(count=1, requestClasses=classes) as rig:
+            loop, heartbeat_at = asyncio.get_running_loop(), rig.node.front.stall_detector.last_heartbeat
+            assert isinstance(loop, StepClockLoop)
+            reader, writer = await rig.connect()
+            await asyncio.sleep(heartbeat_at + HEARTBEAT_S + since_heartbeat_s - loop.time())
+            killed_at = loop.time() + 1.0 + 0.7  # by the protocol page; SIGTERM comes as the stop begins
+            loop.advance(stopped_s)
+            runs_again_at = loop.time()
+            if does_loop_run_first:
+                await asyncio.sleep(0)
+                await asyncio.sleep(0)
+            rig.node.note_end_signal()
+            leaving = asyncio.ensure_future(rig.node.shut_down())
+            answers = []
+            while not reader.at_eof():
+                writer.write(rig.encode_request(d=1000))
+                answers.append(await answer(reader))
+                await asyncio.sleep(0.02)
+            await leaving
+            assert b"" not in answers[:-1] and all(a.startswith((b"for ", b"-BUSY")) for a in answers if a)
+            closing_s = FLUSH_S + 2 * DRAIN_POLL_S
+            latest_end = max(killed_at, runs_again_at + LINGER_S + closing_s)
+            rounding_s = 1e-6
+            earliest_drain, latest_drain = runs_again_at + LINGER_S, latest_end - closing_s
+            assert earliest_drain - rounding_s <= rig.node.drain_until <= latest_drain + rounding_s
+            assert loop.time() <= latest_end
+
+    run(work, STEP_CLOCK)
+
+
 def test_what_is_taken_after_sigterm_tells_the_time_that_is_left() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
--- a/tests/crossings/test_process.py
+++ b/tests/crossings/test_process.py
@@ -16,6 +16,7 @@
 
 import pytest
 
+from otterquay.node.agent import LINGER_S, shutdown_time_s
 from otterquay.standins.resp import never_answer, served
 from tests.crossings.forcing import run
 from tests.noderig import Rig, answer
@@ -123,6 +124,23 @@
     run(work)
 
 
+@pytest.mark.parametrize("stopped_s", [0.15, 0.4, 0.8])
+def test_a_shutdown_counts_from_a_sigterm_that_came_while_the_process_was_stopped(stopped_s: float) -> None:
+    """Guards against a shutdown that begins to count when the process runs again, and that SIGKILL cuts short."""
+
+    async def work() -> None:
+        async with Rig(count=1) as rig, started(rig) as one:
+            one.signal(signal.SIGSTOP)
+            one.signal(signal.SIGTERM)
+            await asyncio.sleep(stopped_s)
+            one.signal(signal.SIGCONT)
+            leaving = await one.wait_for_log("agent_leaving")
+            assert LINGER_S <= leaving["within_s"] <= shutdown_time_s(rig.node.settings) - stopped_s
+            assert await one.ended() == 0
+
+    run(work)
+
+
 EARLY = "import os, signal, sys\nimport otterquay.node.__main__ as program\n"
 
 
