--- a/otterquay/cli/cluster.py
+++ b/otterquay/cli/cluster.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import shutil
 import signal
 import sys
 import tempfile
@@ -40,7 +41,10 @@
     settings: Path | None,
     as_json: bool,
 ) -> None:
-    """Play a cluster DAY; exit 1 on any violation, or when the fleet did not come to rest."""
+    """Play a cluster DAY; exit 1 on any violation, or when the fleet did not come to rest.
+
+    A day that fails keeps its files, also without --out, and names their folder.
+    """
     try:
         plan = load_cluster_day(day)
     except ConfigError as error:
@@ -69,13 +73,20 @@
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, play_task.cancel)
         return await play_task
 
-    with tempfile.TemporaryDirectory(prefix="otterquay-cluster-") as scratch:
-        try:
-            result = asyncio.run(run_to_completion(out or Path(scratch)))
-        except asyncio.CancelledError:
-            raise click.ClickException("stopped by SIGTERM; the agents were stopped, too") from None
-        except (FileExistsError, ConfigError) as error:
-            raise click.ClickException(str(error)) from None
+    folder = out or Path(tempfile.mkdtemp(prefix="otterquay-cluster-"))
+    is_kept = out is not None
+    try:
+        result = asyncio.run(run_to_completion(folder))
+        if not result.good and not is_kept:
+            is_kept = True
+            result.notes.append(f"all files of the run are in {folder}")
+    except asyncio.CancelledError:
+        raise click.ClickException("stopped by SIGTERM; the agents were stopped, too") from None
+    except (FileExistsError, ConfigError) as error:
+        raise click.ClickException(str(error)) from None
+    finally:
+        if not is_kept:
+            shutil.rmtree(folder, ignore_errors=True)
     if as_json:
         click.echo(
             json.dumps({**result.counts, "rested": result.rested, "figures": result.figures, "notes": result.notes})
--- a/otterquay/lab/cluster/play.py
+++ b/otterquay/lab/cluster/play.py
@@ -13,6 +13,7 @@
 from otterquay.lab.cluster.world import ClusterWorld, day_of
 
 TOLERANCE_S = 0.25
+MAX_NOTES = 40
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,4 +67,7 @@
         "posts_moved": len(world.judge.moves),
         "messages": dict(sorted(observer.counts.items())),
     }
-    return Result(counts, [*world.judge.notes, *broken][:40], figures, world.rested)
+    notes = [*world.judge.notes, *broken][:MAX_NOTES]
+    if any(counts.values()) or not world.rested:
+        notes.append(observer.progress())
+    return Result(counts, notes, figures, world.rested)
--- a/otterquay/lab/cluster/wires.py
+++ b/otterquay/lab/cluster/wires.py
@@ -67,6 +67,16 @@
         """Run the hooks waiting for the yard to start servers for an agent."""
         self._run_hooks("yard_order", agent)
 
+    def progress(self) -> str:
+        """How far the replica has come, and what is known of the next entry."""
+        committed = max(self.committed_terms, default=0)
+        following = self.applied_index + 1
+        terms = sorted(self.entries.get(following, {}))
+        return (
+            f"the replica applied {self.applied_index} of {committed} entries known as committed; "
+            f"entry {following} was seen of terms {terms}"
+        )
+
     def _append(self, sender: int, append: gm.Append) -> None:
         if append.term >= self.term:
             self.term, self.leader = append.term, sender
