--- a/otterquay/lab/cluster/wires.py
+++ b/otterquay/lab/cluster/wires.py
@@ -26,6 +26,8 @@
     books: Duties
     now: Callable[[], float]
     entries: dict[int, dict[int, bytes]] = field(default_factory=dict)  # data by index and term
+    # by index and term of an entry: the term of the entry before it; a log that has the one has the other
+    previous_terms: dict[tuple[int, int], int] = field(default_factory=dict)
     committed_terms: dict[int, int] = field(default_factory=dict)  # by index: term of the committed entry
     applied_index: int = 0
     leader: int = -1
@@ -49,6 +51,9 @@
         match message:
             case gm.Append():
                 self._append(sender, message)
+            case gm.Install():
+                self._note_commit(message.index, message.index_term)
+                self._apply()
             case dm.Propose():
                 match message.proposal.command:
                     case cm.Claim():
@@ -80,8 +85,11 @@
     def _append(self, sender: int, append: gm.Append) -> None:
         if append.term >= self.term:
             self.term, self.leader = append.term, sender
+        previous_term = append.before_term
         for index, entry in enumerate(append.entries, append.before + 1):
             known = self.entries.setdefault(index, {})
+            self._note_previous(index, entry.term, previous_term)
+            previous_term = entry.term
             if entry.term not in known and entry.data:
                 self._entry_replicated(entry.data)
             known[entry.term] = entry.data
@@ -100,24 +108,35 @@
         if isinstance(proposal.command, cm.Order):
             self._run_hooks("order", proposal.agent)
 
-    def _note_commit(self, index: int, term: int) -> None:
-        if self.committed_terms.setdefault(index, term) != term:
+    def _note_previous(self, index: int, term: int, previous_term: int) -> None:
+        """Note the term of the entry before an entry; if the entry is committed, so is the one before it."""
+        noted = self.previous_terms.setdefault((index, term), previous_term)
+        if noted != previous_term:
             self.judge.add_violation(
-                "state_differs", f"entry {index} of terms {self.committed_terms[index]} and {term}"
+                "state_differs", f"entry {index} of term {term} follows terms {noted} and {previous_term}"
             )
+        if index > 1 and self.committed_terms.get(index) == term:
+            self._note_commit(index - 1, noted)
+
+    def _note_commit(self, index: int, term: int) -> None:
+        """Note a committed entry and, as far as the log is known, those before it."""
+        while index > 0:
+            noted = self.committed_terms.get(index)
+            if noted not in (None, term):
+                self.judge.add_violation("state_differs", f"entry {index} of terms {noted} and {term}")
+            if noted is not None:
+                return
+            self.committed_terms[index] = term
+            previous_term = self.previous_terms.get((index, term))
+            if previous_term is None:
+                return
+            index, term = index - 1, previous_term
 
     def _apply(self) -> None:
-        # A committed entry implies that the entries before it in the same log are committed too. Where only one
-        # candidate for an index has a term not above that of the nearest committed entry, it is that entry.
         while True:
             index = self.applied_index + 1
             term = self.committed_terms.get(index)
             known = self.entries.get(index, {})
-            if term is None and known and any(t > self.applied_index for t in self.committed_terms):
-                nearest = min(t for t in self.committed_terms if t > self.applied_index)
-                candidates = [t for t in known if t <= self.committed_terms[nearest]]
-                if len(candidates) == 1:
-                    term = candidates[0]
             if term is None or term not in known:
                 return
             data = known[term]
