Soak: a finding of another request's value tells when that value was written again

An appliance that answers twice writes the second answer at most 3 ms after the first, and a request was at times served the value of another there. The recording did not hold when the second answers were written, so a late one could not be told from a fault of the agent.

Change: the appliance keeps when the write of the first answer began and when the second was written, and the finding names the time between them. The check and what appliances send are unchanged.

--- a/otterquay/lab/soak/appliances.py
+++ b/otterquay/lab/soak/appliances.py
@@ -35,6 +35,19 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class SecondAnswer:
+    """A second answer to one request: when the write of the first one began, and when this one was written."""
+
+    first_began_at: float
+    written_at: float
+
+    @property
+    def delay_s(self) -> float:
+        """How long after the first answer it came, at most."""
+        return self.written_at - self.first_began_at
+
+
 @dataclass
 class SoakAppliance:
     """One appliance, reached directly or over a link that can be cut; `entry` is its entry in discovery's list."""
@@ -50,6 +63,7 @@
     link_state: LinkState = field(default_factory=LinkState)
     link: Link | None = None
     entry: dict[str, Any] = field(default_factory=dict)
+    second_answers: dict[bytes, SecondAnswer] = field(default_factory=dict)  # the latest, by request
 
     @property
     def id(self) -> str:
@@ -137,12 +151,17 @@
         asyncio.get_running_loop().call_later(seconds, self.audit.answered, words, writer, value)
 
     def _answer_twice(self, writer: asyncio.StreamWriter, words: list[bytes], value: bytes) -> None:
-        self.audit.answered(words, writer, value)
         loop = asyncio.get_running_loop()
+        first_began_at = loop.time()
+        self.audit.answered(words, writer, value)
         after_s = self.rng.uniform(0.0, MAX_SECOND_ANSWER_S / 2)
-        loop.call_later(after_s, self._answer_again, writer, value, loop.time())
+        loop.call_later(after_s, self._answer_again, writer, words[2], value, first_began_at, loop.time())
 
-    def _answer_again(self, writer: asyncio.StreamWriter, value: bytes, first_at: float) -> None:
+    def _answer_again(
+        self, writer: asyncio.StreamWriter, id: bytes, value: bytes, first_began_at: float, first_at: float
+    ) -> None:
         """Send the second answer, unless this loop was held up for so long that no agent could tell it apart."""
-        if asyncio.get_running_loop().time() - first_at <= MAX_SECOND_ANSWER_S and not writer.is_closing():
+        now = asyncio.get_running_loop().time
+        if now() - first_at <= MAX_SECOND_ANSWER_S and not writer.is_closing():
             writer.write(value)
+            self.second_answers[id] = SecondAnswer(first_began_at, now())
--- a/otterquay/lab/soak/day.py
+++ b/otterquay/lab/soak/day.py
@@ -12,7 +12,7 @@
 from otterquay.lab.attempt_audit import Audit
 from otterquay.lab.ports import HOST, TCP, claim_ports
 from otterquay.lab.soak import script as events
-from otterquay.lab.soak.appliances import SoakAppliance
+from otterquay.lab.soak.appliances import SecondAnswer, SoakAppliance
 from otterquay.lab.soak.clients import Clients, SeenByClients
 from otterquay.lab.soak.feeds import Feeds
 from otterquay.lab.soak.process import AgentProcess, ProcessRun, earliest_kill_s, wall_clock_ms
@@ -44,6 +44,7 @@
     runs: list[ProcessRun]
     longest_stall_s: float
     connections_left: list[str] = field(default_factory=list)
+    second_answers: dict[bytes, SecondAnswer] = field(default_factory=dict)  # by request
     timed: bool = True  # whether SIGKILL came at its earliest moment and times are judged
 
 
@@ -119,6 +120,7 @@
             runs,
             watch.longest_stall_s,
             self._connections_left(),
+            {id: second for one in self.appliances for id, second in one.second_answers.items()},
             self.timed,
         )
 
--- a/otterquay/lab/soak/judge.py
+++ b/otterquay/lab/soak/judge.py
@@ -114,7 +114,8 @@
     if answer.kind == b"-":
         findings.answers["refused" if answer.value.startswith(b"BUSY") else "failed"] += 1
     elif answer.value != b"for " + request.id:
-        findings.add("lost", f"{_words(request)}: served {answer.value[:60]!r}, which no appliance made for it")
+        served = f"served {answer.value[:60]!r}, which no appliance made for it"
+        findings.add("lost", f"{_words(request)}: {served}{_second_answer_text(recording, answer.value)}")
     else:
         findings.answers["served"] += 1
     late_s = request.answered_at - _due(recording, request)
@@ -122,6 +123,12 @@
         findings.add("unanswered", f"{_words(request)}: answered {late_s:.3f} s after the last moment")
 
 
+def _second_answer_text(recording: Recording, value: bytes) -> str:
+    """How late the second answer with this value was written, if there was one."""
+    second = recording.second_answers.get(value.removeprefix(b"for "))
+    return f"; written again {second.delay_s * 1e3:.1f} ms after the first began" if second else ""
+
+
 def _due(recording: Recording, request: Request) -> float:
     """The last moment for an answer: pauses of the process and a wait behind earlier answers do not count."""
     due = max(request.sent_at + request.deadline_s, request.due_from) + MAX_LATE_S
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 
 from otterquay.lab.attempt_audit import Audit
 from otterquay.lab.soak import report
+from otterquay.lab.soak.appliances import SecondAnswer
 from otterquay.lab.soak.clients import SeenByClients
 from otterquay.lab.soak.day import Recording
 from otterquay.lab.soak.judge import COUNTS, Findings, judge
@@ -54,13 +55,15 @@
         self.audit = Audit({b"class-0": "idempotent"})
         self.tape = tp.Tape()
         self.left: list[str] = []
+        self.seconds: dict[bytes, SecondAnswer] = {}
 
     def asked(self, id: bytes, sent_at: float = 2.0) -> Request:
         return Request(id, "class-0", "", [], 0.5, self.run, sent_at, sent_at)
 
     def judge(self) -> Findings:
         script = draw_script(SEED_OF_RECORDS)
-        return judge(Recording(script, self.seen, self.audit, self.tape, [self.run], 0.0, self.left))
+        recording = Recording(script, self.seen, self.audit, self.tape, [self.run], 0.0, self.left, self.seconds)
+        return judge(recording)
 
 
 def no_answer(made: Made) -> None:
@@ -215,6 +218,14 @@
     assert [name for name, found in made.judge().found.items() if found] == [count]
 
 
+def test_a_value_of_another_request_tells_when_it_was_written_again() -> None:
+    """Guards against a finding that does not say whether the second answer came as late as it may."""
+    made = Made()
+    answer_of_another(made)
+    made.seconds[b"id-2"] = SecondAnswer(first_began_at=2.0, written_at=2.0025)
+    assert "written again 2.5 ms after the first began" in made.judge().found["lost"][0]
+
+
 # --- the command ---
 def test_a_seed_draws_one_script_and_prints_it_when_it_fails(monkeypatch: pytest.MonkeyPatch) -> None:
     assert draw_script(7) == draw_script(7) != draw_script(8)
