Connection pool: never reuse a connection whose reader holds input

Cause: before reuse the pool asks the socket for unread input. Input that the event loop read in the same turn is in the stream reader by then; the socket has none, and the connection's task, which would close it, runs later in the turn. The request is written and the second answer taken for its own.

Change: the reader of appliance connections tells whether it holds input until a task has read it; the pool asks reader and socket. So input is seen wherever it is between its arrival and the end of the connection. The test harness that delays connects replaces the pool's function in place of asyncio's.

--- a/otterquay/agent/connection_pool.py
+++ b/otterquay/agent/connection_pool.py
@@ -15,6 +15,7 @@
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import ApplianceProtocol
 from otterquay.agent.sockets import has_unread_data
+from otterquay.agent.stream_reader import open_connection
 from otterquay.logs import Logger
 from otterquay.ordered_set import OrderedSet
 from otterquay.protocol.http import ProtocolError
@@ -62,7 +63,8 @@
             free.remove(connection)
             if connection.closed or connection.reader.at_eof() or connection.writer.is_closing():
                 continue
-            if has_unread_data(connection.writer.transport):  # a surplus answer or a close that is not read yet
+            # a surplus answer or a close that has arrived, also if this turn of the loop has received it
+            if connection.reader.has_pending_input or has_unread_data(connection.writer.transport):
                 self._close(connection)
             else:
                 call.idle_s = loop.time() - connection.idle_since
@@ -159,7 +161,7 @@
         host, port = split_address(call.address)
         try:
             async with asyncio.timeout(self.connect_timeout_s):
-                reader, writer = await asyncio.open_connection(host, port)
+                reader, writer = await open_connection(host, port)
         except (OSError, TimeoutError) as error:
             call.task = None  # it is this task, which returns below
             self.log.info("connect_failed", address=call.address, error=str(error) or type(error).__name__)
--- a/otterquay/agent/exchange.py
+++ b/otterquay/agent/exchange.py
@@ -10,6 +10,7 @@
 
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import Parser
+from otterquay.agent.stream_reader import PendingInputReader
 
 PayloadBuilder = Callable[[], bytes | None]  # called when the connection is ready; None if the request is withheld
 
@@ -45,7 +46,7 @@
     """A connection to an appliance, which carries one call at a time."""
 
     address: str
-    reader: asyncio.StreamReader
+    reader: PendingInputReader
     writer: asyncio.StreamWriter
     parser: Parser
     idle_since: float
--- a/tests/crossings/forcing.py
+++ b/tests/crossings/forcing.py
@@ -12,6 +12,7 @@
 
 import uvloop
 
+from otterquay.agent import connection_pool
 from otterquay.agent.connection_pool import Pool
 from otterquay.agent.exchange import Call
 from otterquay.agent.outcomes import End
@@ -121,14 +122,14 @@
 
     def __init__(self, rig: Rig) -> None:
         self.open, self.waiting = asyncio.Event(), list[str]()
-        self._kept, self._true = {one.address for one in rig.appliances}, asyncio.open_connection
+        self._kept, self._true = {one.address for one in rig.appliances}, connection_pool.open_connection
 
     def __enter__(self) -> ConnectGate:
-        asyncio.open_connection = self._connect
+        connection_pool.open_connection = self._connect
         return self
 
     def __exit__(self, *_: object) -> None:
-        asyncio.open_connection = self._true
+        connection_pool.open_connection = self._true
 
     async def _connect(self, host: str, port: int, **more: Any) -> Any:
         if f"{host}:{port}" in self._kept:
--- a/tests/crossings/test_appliances.py
+++ b/tests/crossings/test_appliances.py
@@ -41,6 +41,42 @@
     run(work, loop)
 
 
+@pytest.mark.parametrize("what", ["a second answer", "half an answer", "a close"])
+@pytest.mark.parametrize("loop", LOOPS)
+def test_what_a_turn_of_the_loop_received_on_an_idle_connection_never_meets_its_next_request(
+    what: str, loop: str
+) -> None:
+    """Guards against input that has left the socket and that the connection's task has not read yet."""
+
+    async def work() -> None:
+        calls, plain = PoolCalls(), BlockingAppliance()
+        conn = await calls.answered(plain)
+        (idle,) = calls.pool.open
+        receive = "feed_eof" if what == "a close" else "feed_data"
+        received = getattr(idle.reader, receive)
+
+        def receive_and_call(*data: bytes) -> None:
+            setattr(idle.reader, receive, received)
+            received(*data)
+            calls.call(plain.address)  # as a request does that the same turn of the loop received
+
+        setattr(idle.reader, receive, receive_and_call)
+        if what.endswith("answer"):
+            conn.sendall(served(b"second")[: 10 if what.startswith("half") else None])
+        else:
+            conn.close()
+        other = await plain.accept()
+        await asyncio.get_running_loop().sock_recv(other, 100)
+        other.sendall(served(b"own"))
+        await until(lambda: len(calls.ends) == 2)
+        assert calls.ends == [End.ANSWER, End.ANSWER] and idle.closed and len(calls.pool.open) == 1
+        calls.pool.close()
+        for one in (plain, conn, other):
+            one.close()
+
+    run(work, loop)
+
+
 def test_the_rest_of_idle_connections_grows_with_how_late_second_answers_come() -> None:
     async def work() -> None:
         calls, plain = PoolCalls(), BlockingAppliance()
