Node: signals while the interpreter ends do not change the exit code

Cause: Python puts handlers back to the default while it ends the interpreter; a signal that comes then ends the process.

Change: once the agent has ended, or could not start, SIGTERM, SIGINT and SIGHUP are ignored; the interpreter leaves ignored signals alone, and the loop's handlers stay until then.

--- a/otterquay/node/__main__.py
+++ b/otterquay/node/__main__.py
@@ -8,8 +8,9 @@
 
 import signal
 
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 EARLY_SIGNALS: list[int] = []  # signals received before the event loop handles them
-for _number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+for _number in HANDLED_SIGNALS:
     signal.signal(_number, lambda number, _: EARLY_SIGNALS.append(number))
 
 import asyncio  # noqa: E402 - signal handlers are installed before the slow imports
@@ -56,7 +57,24 @@
     await node.shut_down()
 
 
+def ignore_signals() -> None:
+    """Let no signal change the exit code any more.
+
+    The interpreter puts handlers back to the default while it ends, but leaves signals that are ignored alone.
+    """
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 def main() -> int:
+    """Load the configuration, run the agent and return the exit code; signals are ignored from then on."""
+    try:
+        return run()
+    finally:
+        ignore_signals()
+
+
+def run() -> int:
     """Load the configuration, run the agent and return the exit code."""
     path = os.environ.get("PROXY_CONFIG", "")
     try:
--- a/tests/crossings/test_process.py
+++ b/tests/crossings/test_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -19,7 +20,7 @@
 from otterquay.node.agent import LINGER_S, shutdown_time_s
 from otterquay.standins.resp import never_answer, served
 from tests.crossings.forcing import run
-from tests.noderig import Rig, answer
+from tests.noderig import CLASSES, Rig, answer
 
 ROOT = Path(__file__).parent.parent.parent
 READY = "agent_started"
@@ -177,6 +178,24 @@
     run(work)
 
 
+@pytest.mark.parametrize("repeated", ["SIGHUP", "SIGTERM", "SIGINT"])
+def test_signals_all_through_its_end_do_not_change_how_a_process_ends(repeated: str) -> None:
+    """Guards against the default of a signal while the loop closes or the interpreter ends."""
+
+    async def work() -> None:
+        classes = [{**CLASSES[0], "deadlineMs": 100.0, "onTimeMs": 50.0}]
+        async with Rig(count=1, requestClasses=classes) as rig, started(rig) as one:
+            one.signal(signal.SIGTERM)
+            await one.wait_for_log("agent_draining")
+            while one.process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    one.signal(signal.Signals[repeated])
+                await asyncio.sleep(0.0005)
+            assert await one.ended() == 0 and not [line for line in one.raw if "Traceback" in line]
+
+    run(work)
+
+
 def test_a_bad_file_at_a_reload_is_one_line_and_the_old_one_stays() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig, Rig(count=1) as other, started(rig) as one:
