Soak: the time of a second answer counts from before the first write

What was seen: second answers, which are to come at most 3 ms after the first, were written later.

Cause: the appliance read the clock after the first write. That write wakes the agent's process, which may take the core, so it lasts up to a time slice, which counted for nothing.

Change: the clock is read before the first write, and a second answer that would come later than 3 ms after that is left out, as one was that the loop held up. The check of values is unchanged.

--- a/otterquay/lab/soak/appliances.py
+++ b/otterquay/lab/soak/appliances.py
@@ -155,13 +155,14 @@
         first_began_at = loop.time()
         self.audit.answered(words, writer, value)
         after_s = self.rng.uniform(0.0, MAX_SECOND_ANSWER_S / 2)
-        loop.call_later(after_s, self._answer_again, writer, words[2], value, first_began_at, loop.time())
+        loop.call_later(after_s, self._answer_again, writer, words[2], value, first_began_at)
 
-    def _answer_again(
-        self, writer: asyncio.StreamWriter, id: bytes, value: bytes, first_began_at: float, first_at: float
-    ) -> None:
-        """Send the second answer, unless this loop was held up for so long that no agent could tell it apart."""
+    def _answer_again(self, writer: asyncio.StreamWriter, id: bytes, value: bytes, first_began_at: float) -> None:
+        """Send the second answer, unless this loop was held up for so long that no agent could tell it apart.
+
+        Its time counts from before the first write, which lets the agent run and may take as long as a time slice.
+        """
         now = asyncio.get_running_loop().time
-        if now() - first_at <= MAX_SECOND_ANSWER_S and not writer.is_closing():
+        if now() - first_began_at <= MAX_SECOND_ANSWER_S and not writer.is_closing():
             writer.write(value)
             self.second_answers[id] = SecondAnswer(first_began_at, now())
