Store: one series of repairs, and none that only the next write undoes

Found on rereading, before it was in service. Two faults of it: on a disk that has a little room the repair's record may fit and the next write not, so the store is told as writable and fails again; and each failure began a series of trials of its own, so a disk that fails again and again was tried ever more often.

Change: a repair writes a page and cuts it off again before its record, so it fails where the next records would; the agent has one timer for the next trial.

Result: two new tests; with 1,000 bytes of room the store is not taken for repaired, with a page it is, and a disk that fails at each first write is tried once each half second.

--- a/otterquay/agent/state_store.py
+++ b/otterquay/agent/state_store.py
@@ -68,6 +68,7 @@
         self._released_build = 0  # keys answered by builds up to this one are released
         self._is_in_doubt = False  # attempts of an earlier process that still count may be missing
         self._lacks_writes = False  # the store has not taken all that this process had for it
+        self._repair_timer: asyncio.TimerHandle | None = None
         self._rewriting: asyncio.Task[None] | None = None
         store.listeners.append(self)
         if store.failed:
@@ -272,12 +273,17 @@
         self._lacks_writes = True
         if self._unwritten_answers:
             self._note_missing_answer(max(self._unwritten_answers.values()))
-        asyncio.get_running_loop().call_later(REPAIR_INTERVAL_S, self._repair)
+        self._schedule_repair()
+
+    def _schedule_repair(self) -> None:
+        if self._repair_timer is None:
+            self._repair_timer = asyncio.get_running_loop().call_later(REPAIR_INTERVAL_S, self._repair)
 
     def _repair(self) -> None:
+        self._repair_timer = None
         if self._store.failed and self._store.is_repairable:
             self._store.start_repair()
-            asyncio.get_running_loop().call_later(REPAIR_INTERVAL_S, self._repair)
+            self._schedule_repair()
 
     def store_repaired(self) -> None:
         """Write what the store could not take."""
--- a/otterquay/store/repair.py
+++ b/otterquay/store/repair.py
@@ -6,7 +6,7 @@
 - The active segment is cut back to its last synced record, and the page that the cut falls in is rewritten.
 - A next segment that was begun is removed once that cut is durable.
 - Compaction begins again at the oldest segment that the log needs: moves of the failed record were lost.
-- A record is written, so that a disk that is still full is noticed here.
+- A page is written and cut off again, then a record is written: a disk that is still full is noticed here.
 
 A crash at any step leaves a state that opening repairs (`recovery.py`). The batches that had failed are not
 written: those who submitted them do that.
@@ -58,6 +58,8 @@
 
 async def _rewrite_end(files: Files, name: str, size: int) -> None:
     files.truncate(name, size)  # also if it seems done: a sync that failed after it may have lost that
+    files.write_at(name, size, bytes(PAGE_BYTES))  # fails where the next records would
+    files.truncate(name, size)
     page_start = size - size % PAGE_BYTES
     files.write_at(name, page_start, files.read(name, page_start, size - page_start))
     await files.sync(name)
--- a/tests/test_attempts_over_disk_failures.py
+++ b/tests/test_attempts_over_disk_failures.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import pytest
 from attempts_rig import COUNTED_MS, SYNC_MS, WINDOW_MS, Processes, now_ms, run, sleep_ms, sleep_to_bin, slow_disk
@@ -18,7 +19,8 @@
 from otterquay.lab.disk import FaultDisk
 from otterquay.logs import silent
 from otterquay.protocol.news import Entry
-from otterquay.store import Put, open_store
+from otterquay.store import Put, Store, open_store
+from otterquay.store.repair import PAGE_BYTES
 from otterquay.store.reserve import RESERVE_FILE
 
 REPAIRED_MS = 1500.0  # by then a disk that works again has all
@@ -377,6 +379,67 @@
     run(work())
 
 
+class Listener:
+    """Counts how often a store fails and is repaired, and may act on it."""
+
+    def __init__(self, store: Store) -> None:
+        self.failures = self.repairs = 0
+        self.on_failure: Callable[[], None] = lambda: None
+        self.on_repair: Callable[[], None] = lambda: None
+        store.listeners.append(self)
+
+    def store_failed(self) -> None:
+        self.failures += 1
+        self.on_failure()
+
+    def store_repaired(self) -> None:
+        self.repairs += 1
+        self.on_repair()
+
+
+@pytest.mark.parametrize("room_bytes", [0, 1000, PAGE_BYTES])
+def test_a_disk_with_little_room_is_not_taken_for_one_that_works(room_bytes: int) -> None:
+    """Guards against a repair whose record fits and that ends with the next write, each half second."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        await fail_after_three_attempts(processes, fill)
+        listener = Listener(processes.store)
+        fill(processes)
+        assert processes.disk.capacity is not None
+        processes.disk.capacity += room_bytes
+        await processes.send_evenly(50.0, 3000.0)
+        assert (listener.repairs, listener.failures) == ((1, 0) if room_bytes == PAGE_BYTES else (0, 0))
+
+    run(work())
+
+
+def test_a_disk_that_fails_again_and_again_is_not_tried_more_and_more_often() -> None:
+    """Guards against a series of trials of its own for each failure."""
+
+    async def work() -> None:
+        processes = Processes()
+        await processes.start()
+        listener = Listener(processes.store)
+        listener.on_failure = partial(mend, processes)
+        listener.on_repair = partial(fail_syncs, processes)
+        tries, start_repair = 0, processes.store.start_repair
+
+        def counted() -> None:
+            nonlocal tries
+            tries += 1
+            start_repair()
+
+        processes.store.start_repair = counted  # type: ignore[method-assign]
+        fail_syncs(processes)
+        processes.send(1)
+        await sleep_ms(4250.0)
+        assert 7 <= listener.repairs <= tries <= 8
+
+    run(work())
+
+
 # --- a store that is opened on a disk that works, by a version that knows no mark ---
 def test_the_mark_is_a_file_that_opening_passes_over() -> None:
     """Guards against a mark that keeps a read-only opening from the store."""
