--- a/otterquay/lab/soak/clients.py
+++ b/otterquay/lab/soak/clients.py
@@ -177,7 +177,7 @@
         """Send a request again, once, that crossed the close of its connection unread."""
         if request.resent or self._arrived(request.id) or request.run.kill_at is not None:
             return
-        request.resent = True
+        request.resent, request.crossed_at = True, request.closed_at
         self._spawn(self._send_again(request))
 
     async def _send_again(self, request: Request) -> None:
@@ -186,6 +186,7 @@
         if connection is None:
             request.refused_at = self.now()
             return
+        request.reopened_at = self.now()
         connection.ask([request])
         await connection.closed.wait()
 
--- a/otterquay/lab/soak/judge.py
+++ b/otterquay/lab/soak/judge.py
@@ -41,6 +41,7 @@
 SERVES_FROM = 50  # owed requests with time enough, of which a run serves at least one
 ENOUGH_TIME_S = 0.3
 ACCEPTED_AND_SHED = 1  # the newest connection is accepted before one of them is shed
+END_EVENTS = ("agent_leaving", "agent_draining", "agent_stopped")
 PYTHON_LEFTOVERS = ("ResourceWarning", "was destroyed but it is pending", "never awaited")
 
 
@@ -81,12 +82,34 @@
 def _words(request: Request) -> str:
     run = request.run
     after_term = f", {request.sent_at - run.term_at:.3f} s after SIGTERM" if run.term_at is not None else ""
-    again = ", sent again" if request.resent else ""
+    again = _resend_text(request) if request.resent else ""
     return (
         f"{request.id.decode()} of {request.cls} ({request.deadline_s:g} s) to agent {run.agent}{after_term}{again}"
     )
 
 
+def _resend_text(request: Request) -> str:
+    """How a request was sent again, in seconds after the close that it crossed."""
+    crossed_at, reopened_at = request.crossed_at, request.reopened_at
+    if crossed_at is None or reopened_at is None:
+        return ", sent again"
+    text = f", sent again: second connection up {reopened_at - crossed_at:.3f} s after the end of the first"
+    if request.sent_at < reopened_at:
+        return f"{text}, which had ended before the request could be written"
+    ended = "still open" if request.closed_at is None else f"ended {request.closed_at - reopened_at:.3f} s later"
+    return f"{text}, {ended}"
+
+
+def _planned_end_text(run: ProcessRun) -> str:
+    """What the agent logged of its planned end, in seconds after SIGTERM."""
+    if run.term_at is None:
+        return ""
+    lines = [line for line in run.log_lines if line.get("event") in END_EVENTS]
+    steps = [f"{line['event']} at {line['at'] - run.term_at:.3f} s" for line in lines]
+    steps += [f"within {line['within_s']:.3f} s" for line in lines if "within_s" in line]
+    return f" ({', '.join(steps)})" if steps else ""
+
+
 def _judge_request(recording: Recording, request: Request, findings: Findings) -> None:
     if not request.owed:
         return
@@ -100,9 +123,11 @@
     elif _ended_by_kill(request):
         _judge_killed(request, findings)
     elif request.refused_at is not None:
-        findings.add("lost", f"{_words(request)}: crossed the close of its connection and found nobody")
+        found = f"crossed the close of its connection and found nobody{_planned_end_text(request.run)}"
+        findings.add("lost", f"{_words(request)}: {found}")
     elif request.closed_at is not None:
         known = "received by an appliance" if request.id in recording.audit.tries else "not seen at an appliance"
+        known += _planned_end_text(request.run)
         findings.add("lost", f"{_words(request)}: its connection ended with no answer, {known}")
     else:
         findings.add("unanswered", f"{_words(request)}: no answer, and its connection did not end")
--- a/otterquay/lab/soak/requests.py
+++ b/otterquay/lab/soak/requests.py
@@ -32,7 +32,9 @@
     closed_at: float | None = None  # when its connection ended with no answer to it
     left_at: float | None = None  # when its client went away
     owed: bool = True  # whether its client kept to the protocol, so that it has to get an answer
-    resent: bool = False
+    resent: bool = False  # whether it crossed the close of its connection and was to be sent again on a new one
+    crossed_at: float | None = None  # when the connection that it was first sent on ended
+    reopened_at: float | None = None  # when the connection for sending it again was up
     turned_away: resp.Answer | None = None  # the error that a connection began with, so that nothing was sent on it
     refused_at: float | None = None  # when the connection for sending it again was refused
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -226,6 +226,23 @@
     assert "written again 2.5 ms after the first began" in made.judge().found["lost"][0]
 
 
+def test_a_request_lost_on_its_second_connection_tells_how_it_was_sent_again_and_how_the_agent_ended() -> None:
+    """Guards against a finding that leaves open which end of a connection lost the request."""
+    made = Made()
+    closed_under(made)
+    made.request.resent, made.request.crossed_at, made.request.reopened_at = True, 2.1, 2.15
+    made.run.log_lines += [
+        {"event": "agent_leaving", "at": 20.25, "within_s": 0.5},
+        {"event": "agent_stopped", "at": 20.75},
+    ]
+    (never_written,) = made.judge().found["lost"]
+    assert "second connection up 0.050 s after the end of the first, which had ended before" in never_written
+    assert "(agent_leaving at 0.250 s, agent_stopped at 0.750 s, within 0.500 s)" in never_written
+    made.request.sent_at = 2.15
+    (written,) = made.judge().found["lost"]
+    assert "second connection up 0.050 s after the end of the first, ended 0.050 s later" in written
+
+
 # --- the command ---
 def test_a_seed_draws_one_script_and_prints_it_when_it_fails(monkeypatch: pytest.MonkeyPatch) -> None:
     assert draw_script(7) == draw_script(7) != draw_script(8)
