Node: signals that come as they begin to be ignored leave no traceback

What callers saw: an agent that had ended with 0 wrote a traceback, 'Signal 15 ignored due to race condition', which counts as a crash.

Cause: Python reports a signal whose handler was replaced between its arrival and its handling. The arrival may be in a worker thread of the event loop, so blocking in the main thread is not enough.

Change: the node's worker threads start with the three signals blocked; the main thread blocks them before it ignores them.

--- a/otterquay/node/__main__.py
+++ b/otterquay/node/__main__.py
@@ -14,11 +14,13 @@
     signal.signal(_number, lambda number, _: EARLY_SIGNALS.append(number))
 
 import asyncio  # noqa: E402 - signal handlers are installed before the slow imports
+import contextlib  # noqa: E402
 import gc  # noqa: E402
 import os  # noqa: E402
 import random  # noqa: E402
 import sys  # noqa: E402
 import time  # noqa: E402
+from collections.abc import Iterator  # noqa: E402
 
 import uvloop  # noqa: E402
 
@@ -27,6 +29,16 @@
 from otterquay.node.json_log import JsonLogger  # noqa: E402
 
 
+@contextlib.contextmanager
+def signals_blocked() -> Iterator[None]:
+    """Let signals wait. Threads that start meanwhile never take one, so that only the main thread does."""
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
+
+
 async def serve(path: str, config: NodeConfig) -> None:
     """Run the agent until a signal ends it, then shut it down gracefully."""
     loop = asyncio.get_running_loop()
@@ -48,7 +60,8 @@
     loop.add_signal_handler(signal.SIGHUP, reload_config)
     if {signal.SIGTERM, signal.SIGINT} & set(EARLY_SIGNALS):
         return log.info("ended_before_start")
-    await node.start()
+    with signals_blocked():  # the event loop starts its worker threads, which inherit what is blocked
+        await node.start()
     gc.collect()
     gc.freeze()  # exclude the long-lived objects of the start from later collections
     if signal.SIGHUP in EARLY_SIGNALS:
@@ -60,8 +73,10 @@
 def ignore_signals() -> None:
     """Let no signal change the exit code any more.
 
-    The interpreter puts handlers back to the default while it ends, but leaves signals that are ignored alone.
+    The interpreter puts handlers back to the default while it ends, but leaves signals that are ignored alone. They
+    are blocked first: one that comes while its handler is replaced would be reported with a traceback.
     """
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     for number in HANDLED_SIGNALS:
         signal.signal(number, signal.SIG_IGN)
 
--- a/tests/crossings/test_process.py
+++ b/tests/crossings/test_process.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import re
 import signal
 import socket
 import sys
@@ -196,6 +197,55 @@
     run(work)
 
 
+def test_only_the_main_thread_takes_signals() -> None:
+    """Guards against a worker thread that takes one which the main thread has blocked."""
+
+    async def work() -> None:
+        async with Rig(count=1) as rig, started(rig) as one:
+            assert await rig.exchange(rig.encode_request(id="served")) == b"for served"
+            handled = sum(1 << number - 1 for number in (signal.SIGHUP, signal.SIGINT, signal.SIGTERM))
+            statuses = Path(f"/proc/{one.process.pid}/task").glob("*/status")
+            blocked = {
+                int(path.parent.name): int(re.findall(r"SigBlk:\s*(\w+)", path.read_text())[0], 16) & handled
+                for path in statuses
+            }
+            assert blocked.pop(one.process.pid) == 0
+            assert set(blocked.values()) == {handled}
+            one.signal(signal.SIGTERM)
+            assert await one.ended() == 0
+
+    run(work)
+
+
+# Sends itself signals without a pause, from a second process, while it begins to ignore them many times.
+IGNORES_UNDER_FIRE = """
+import os, signal, subprocess, sys
+import otterquay.node.__main__ as program
+SENDER = "import os, signal, sys\\nwhile True: os.kill(int(sys.argv[1]), signal.SIGHUP)"
+received = []
+signal.signal(signal.SIGHUP, lambda *_: received.append(1))
+sender = subprocess.Popen([sys.executable, "-c", SENDER, str(os.getpid())])
+while not received:
+    signal.pause()
+for _ in range(300):
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, program.HANDLED_SIGNALS)
+    program.ignore_signals()
+sender.kill()
+sender.wait()
+"""
+
+
+def test_a_signal_that_comes_as_signals_begin_to_be_ignored_leaves_no_traceback() -> None:
+    """Guards against a handler that is replaced between the arrival of a signal and its handling."""
+
+    async def work() -> None:
+        async with Rig(count=1) as rig, started(rig, IGNORES_UNDER_FIRE, ready=False) as one:
+            assert await one.ended() == 0 and not one.raw
+
+    run(work)
+
+
 def test_a_bad_file_at_a_reload_is_one_line_and_the_old_one_stays() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig, Rig(count=1) as other, started(rig) as one:
