--- a/otterquay/agent/sockets.py
+++ b/otterquay/agent/sockets.py
@@ -1,13 +1,15 @@
-"""Asks the kernel for the current state of a socket or pipe, without reading from it.
+"""Acts on a socket or pipe at once, past the event loop: asks for its state, or ends its sending.
 
 The event loop reports bytes and closes once per iteration. A decision between two polls, or in the first iteration
-after the process was stalled, would rest on an outdated state; these functions poll the descriptor itself.
+after the process was stalled, would rest on an outdated state; these functions use the descriptor itself.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import select
+import socket
 
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
@@ -19,10 +21,10 @@
 
 
 def _events(transport: asyncio.BaseTransport, mask: int) -> int:
-    socket = transport.get_extra_info("socket")
-    if socket is None:  # simulated network: nothing arrives between two loop iterations
+    pseudo_socket = transport.get_extra_info("socket")
+    if pseudo_socket is None:  # simulated network: nothing arrives between two loop iterations
         return 0
-    if (fd := socket.fileno()) < 0:
+    if (fd := pseudo_socket.fileno()) < 0:
         return _CLOSED_EVENTS
     return _poll(fd, mask)
 
@@ -37,6 +39,22 @@
     return _events(transport, select.POLLRDHUP) & (_CLOSED_EVENTS | select.POLLRDHUP) != 0
 
 
+def end_sending(transport: asyncio.BaseTransport) -> None:
+    """End the sending on a TCP connection at once; bytes that the transport still buffers are never sent.
+
+    A transport closes its socket one turn of the event loop later, after whatever is written in this turn.
+    """
+    pseudo_socket = transport.get_extra_info("socket")
+    if pseudo_socket is None or (fd := pseudo_socket.fileno()) < 0:  # simulated network, or closed already
+        return
+    connection = socket.socket(pseudo_socket.family, pseudo_socket.type, pseudo_socket.proto, fd)
+    try:
+        with contextlib.suppress(OSError):  # the peer has reset the connection
+            connection.shutdown(socket.SHUT_WR)
+    finally:
+        connection.detach()
+
+
 def is_writable(fd: int) -> bool:
     """Whether a write of up to one page (4 KiB) to a pipe, file or terminal would not block."""
     return _poll(fd, select.POLLOUT) & select.POLLOUT != 0
--- a/tests/crossings/test_appliances.py
+++ b/tests/crossings/test_appliances.py
@@ -160,6 +160,48 @@
     run(work, loop)
 
 
+def has_ended(conn: socket.socket) -> bool:
+    """Whether the other side has ended its sending on a connection of which all bytes were read."""
+    conn.setblocking(False)
+    try:
+        return conn.recv(1, socket.MSG_PEEK) == b""
+    except BlockingIOError:
+        return False
+
+
+@pytest.mark.parametrize("how", ["called off", "overdue", "spoilt"])
+@pytest.mark.parametrize("loop", LOOPS)
+def test_an_attempt_has_ended_at_its_appliance_before_the_next_one_of_its_request_can_begin(
+    how: str, loop: str
+) -> None:
+    """Guards against two copies out at one time: a retry begins in the turn in which the attempt before it ends."""
+
+    async def work() -> None:
+        calls, hung = PoolCalls(), BlockingAppliance()
+        ended_before_retry: list[bool] = []
+
+        def retry(*_: object) -> None:
+            ended_before_retry.append(has_ended(conn))
+
+        until_s = asyncio.get_running_loop().time() + 60.0
+        call = calls.pool.call(hung.address, b"1-0", lambda: b"*1\r\n$1\r\nx\r\n", until_s, retry)
+        conn = await hung.accept()
+        await asyncio.get_running_loop().sock_recv(conn, 100)
+        if how == "called off":
+            calls.pool.cancel(call)
+        elif how == "overdue":
+            calls.pool._overdue(call)
+        else:
+            conn.sendall(b":1\r\n")
+        await until(lambda: ended_before_retry)
+        assert ended_before_retry == [True]
+        calls.pool.close()
+        for one in (hung, conn):
+            one.close()
+
+    run(work, loop)
+
+
 def test_closing_the_pool_ends_calls_that_still_connect() -> None:
     """Guards against a caller that waits until its deadline for a connect that was cancelled."""
 
