Soak: a second copy tells its connections, the time between and how it was resent

Cause: not traced; this is the record that its trace needs.

Change: the audit names both connections and the seconds between, the judge adds how the client sent it again.

--- a/otterquay/lab/attempt_audit.py
+++ b/otterquay/lab/attempt_audit.py
@@ -22,9 +22,16 @@
 
     words: list[bytes]
     writer: asyncio.StreamWriter
+    received_at: float = 0.0  # on the event loop's clock
     answer: bytes | None = None
     direct: bool = True  # without a relay, so that a close by the agent is seen at once
 
+    @property
+    def name(self) -> str:
+        """The addresses of its connection, the agent's first."""
+        ends = (self.writer.get_extra_info(end) for end in ("peername", "sockname"))
+        return " to ".join(str(end[1]) if end else "?" for end in ends)
+
     def in_progress(self) -> bool:
         """Whether it is unanswered on an open connection; unknown, hence false, behind a relay."""
         return self.direct and self.answer is None and self._is_open()
@@ -66,16 +73,20 @@
         before = self.tries.setdefault(words[2], [])
         options = dict(item.split(b"=", 1) for item in words[3].split(b","))
         effect = self.effects[options[b"c"]]
-        if any(attempt.in_progress() for attempt in before):
-            self.broken.append(f"a second copy of {words[2].decode()} while one was out")
-        ran = [attempt for attempt in before if not (attempt.answer or b"").startswith(NOT_RUN_PREFIX)]
+        attempt = ReceivedAttempt(words, writer, asyncio.get_running_loop().time(), direct=direct)
+        for earlier in before:
+            if earlier.in_progress():
+                after_s = attempt.received_at - earlier.received_at
+                copies = f"{attempt.name}, {after_s:.4f} s after {earlier.name}"
+                self.broken.append(f"a second copy of {words[2].decode()} while one was out: {copies}")
+        ran = [earlier for earlier in before if not (earlier.answer or b"").startswith(NOT_RUN_PREFIX)]
         if effect == "at_most_once" and ran:
             self.broken.append(f"{words[2].decode()} may have run and was sent again")
         if before and (before[0].words[1], before[0].words[4:]) != (words[1], words[4:]):
             self.broken.append(f"{words[2].decode()} was changed on its way")
         if not 0 < int(options[b"d"]) < 10**9:
             self.broken.append(f"{words[2].decode()} tells {options[b'd'].decode()} ms")
-        before.append(ReceivedAttempt(words, writer, direct=direct))
+        before.append(attempt)
 
     def check_answers(self, asked: list[bytes], got: list[bytes], owed: set[bytes]) -> None:
         """Check the answers on one connection against the ids that it asked for, in order.
--- a/otterquay/lab/soak/judge.py
+++ b/otterquay/lab/soak/judge.py
@@ -268,7 +268,8 @@
 # --- rules ---
 def _judge_rules(recording: Recording, findings: Findings) -> None:
     for words in recording.audit.broken:
-        findings.add("violations", words)
+        resent = [_words(request) for request in recording.seen.requests if request.resent]
+        findings.add("violations", "; ".join([words, *(text for text in resent if text.split()[0] in words)]))
     tolerance_s = TOLERANCE_S if recording.timed else UNTIMED_TOLERANCE_S
     service = audit_service(recording.script.customer)
     auditor = Auditor(recording.tape, service, tolerance_s, BUILD_GRACE_S + tolerance_s)
