Test: an ended connection is waited for without a turn of the loop

What callers saw: nothing.

Change: it waits up to 5 s on the socket alone; the event loop does not run meanwhile, so the check is as strict.

--- a/tests/crossings/test_appliances.py
+++ b/tests/crossings/test_appliances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 
 import pytest
@@ -160,13 +161,13 @@
     run(work, loop)
 
 
+ARRIVAL_S = 5.0  # for what the kernel delivers without a turn of the event loop
+
+
 def has_ended(conn: socket.socket) -> bool:
-    """Whether the other side has ended its sending on a connection of which all bytes were read."""
-    conn.setblocking(False)
-    try:
-        return conn.recv(1, socket.MSG_PEEK) == b""
-    except BlockingIOError:
-        return False
+    """Whether the other side ends its sending before the loop runs; all bytes of the connection were read."""
+    readable, _, _ = select.select([conn], [], [], ARRIVAL_S)
+    return bool(readable) and conn.recv(1, socket.MSG_PEEK) == b""
 
 
 @pytest.mark.parametrize("how", ["called off", "overdue", "spoilt"])
