Drain: a new connection that has brought nothing yet is kept till its time is up

Cause: the drain closed each connection that was quiet for 0.1 s, also one opened in the drain for such a request, whose client was held up between its connect and its write.

--- a/otterquay/node/client.py
+++ b/otterquay/node/client.py
@@ -102,6 +102,7 @@
     """asyncio protocol of one client connection. Times are seconds of `ConnectionOwner.active_time`."""
 
     __slots__ = (
+        "awaits_first_request",
         "bytes_dropped",
         "ending_since",
         "feeding",
@@ -120,6 +121,7 @@
         self.front, self.parser, self.slots = front, resp.CommandParser(), deque[PendingAnswer]()
         self.state, self.write_stall = State.OPEN, WriteStall()
         self.feeding = False  # a chunk of commands is being handled; no flush or close until its last one
+        self.awaits_first_request = False  # accepted in a drain, and nothing has come yet
         self.half_since: float | None = None
         self.ending_since, self.bytes_dropped = 0.0, 0
 
@@ -128,6 +130,7 @@
         # uvloop's transports do not subclass asyncio.Transport, hence the cast
         self.transport = transport = cast(asyncio.Transport, transport)
         self.read_at = self.idle_since = self.front.active_time()
+        self.awaits_first_request = self.front.draining
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
         self.front.add_client(self)
 
@@ -159,6 +162,7 @@
         if self.state is not State.OPEN:
             return self._discard(len(data))
         self.read_at = self.idle_since = now = self.front.active_time()
+        self.awaits_first_request = False
         commands = self.parser.feed(data)
         if len(self.slots) + len(commands) > MAX_PIPELINED_COMMANDS:
             return self.end_with_error(f"over {MAX_PIPELINED_COMMANDS} commands without an answer")
--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -87,11 +87,13 @@
         """Close the longest idle connection that has been quiet, one at a time.
 
         A request that arrives between the check of a socket and its close crosses the close; closing many
-        connections in one turn would lengthen that window.
+        connections in one turn would lengthen that window. A connection that came in the drain and has brought
+        nothing yet is kept until the drain's time is up: its client has a request that crossed such a close.
         """
         assert self._loop
         idle_before = self.active_time() - QUIET_PERIOD_S
-        if client := self._idlest([c for c in self.clients if c.idle_since <= idle_before]):
+        quiet = [client for client in self.clients if client.idle_since <= idle_before]
+        if client := self._idlest([c for c in quiet if self.finishing or not c.awaits_first_request]):
             client.close()
         self._drain_timer = self._loop.call_later(DRAIN_CLOSE_INTERVAL_S, self._close_next_idle)
 
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -265,6 +265,39 @@
     run(work, STEP_CLOCK)
 
 
+@pytest.mark.parametrize("silent_s", [2 * QUIET_PERIOD_S, 0.5, 1.5])
+def test_a_connection_for_a_request_that_crossed_a_close_may_be_silent_before_it_asks(silent_s: float) -> None:
+    """Guards against a close under a client that was held up between its connect and its write."""
+
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            reader, _ = await rig.connect()
+            await rig.until(lambda: rig.node.front.clients)
+            leaving = asyncio.ensure_future(rig.node.shut_down())
+            assert await answer(reader) == b"", "closed by the drain"
+            reader, writer = await rig.connect()
+            await asyncio.sleep(silent_s)
+            writer.write(rig.encode_request(id="again", d=500))
+            assert [await answer(reader), await answer(reader)] == [b"for again", b""]
+            await leaving
+
+    run(work, STEP_CLOCK)
+
+
+def test_a_silent_connection_of_a_drain_is_closed_once_its_time_is_up_while_the_listener_still_stands() -> None:
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            leaving = asyncio.ensure_future(rig.node.shut_down())
+            await rig.until(lambda: rig.node.phase is Phase.DRAINING)
+            await asyncio.sleep(rig.node.drain_until - QUIET_PERIOD_S - asyncio.get_running_loop().time())
+            reader, _ = await rig.connect()
+            assert await answer(reader) == b""
+            assert await rig.exchange(rig.encode_request(id="crossed")) == b"-BUSY"
+            await leaving
+
+    run(work, STEP_CLOCK)
+
+
 def test_an_idle_connection_with_an_unread_request_is_not_closed_by_a_drain() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
