Soak: appliances listen on claimed ports, which agents of other programs never try

Evidence: the connection's other side had not ended, and its owner was an agent started from another folder (trial with a look at the owner of the socket).

Change: appliances and links use ports that are claimed, as agents do. The count is as strict as it was; its words now tell how many of the connections had ended unread.

--- a/otterquay/lab/soak/appliances.py
+++ b/otterquay/lab/soak/appliances.py
@@ -9,12 +9,14 @@
 from typing import Any
 
 from otterquay.lab.attempt_audit import Audit
+from otterquay.lab.ports import HOST
 from otterquay.lab.soak.script import Mode
 from otterquay.standins import tape as tp
 from otterquay.standins.feed_tape import incarnation, server_number
 from otterquay.standins.links import Link, LinkState
 from otterquay.standins.resp import Appliance, served
 
+PORTS = 2  # of one appliance: its own and that of its link
 REQUESTS = (b"SVC.QUERY", b"SVC.SUBMIT")
 WORK_S = 0.001
 LEAST_CAPACITY_PER_S = 50  # requests that a warm one bears, if it never got as many
@@ -70,13 +72,13 @@
         """Its id in discovery's list."""
         return f"s-{self.number}"
 
-    async def start(self) -> None:
-        """Listen, and fill in the entry."""
-        address = await self.stand_in.start()
+    async def start(self, port: int, link_port: int) -> None:
+        """Listen on these ports, and fill in the entry."""
+        address = await self.stand_in.start(port)
         self.audit.watch(self.stand_in, self._behave, direct=not self.relayed)
         if self.relayed:
             self.link = Link(address, self.link_state)
-            address = await self.link.start()
+            address = await self.link.start(HOST, link_port)
         self.entry = {
             "instanceId": self.id,
             "hostPort": address,
--- a/otterquay/lab/soak/day.py
+++ b/otterquay/lab/soak/day.py
@@ -9,10 +9,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from otterquay.agent.sockets import peer_closed
 from otterquay.lab.attempt_audit import Audit
 from otterquay.lab.ports import HOST, TCP, claim_ports
 from otterquay.lab.soak import script as events
-from otterquay.lab.soak.appliances import SecondAnswer, SoakAppliance
+from otterquay.lab.soak.appliances import PORTS, SecondAnswer, SoakAppliance
 from otterquay.lab.soak.clients import Clients, SeenByClients
 from otterquay.lab.soak.feeds import Feeds
 from otterquay.lab.soak.process import AgentProcess, ProcessRun, earliest_kill_s, wall_clock_ms
@@ -73,12 +74,13 @@
 
     async def play(self) -> Recording:
         """Play the day to its end and return what was recorded."""
-        claim = claim_ports(self.script.agents, TCP)
+        claim = claim_ports(self.script.agents + PORTS * self.script.appliances, TCP)
+        agent_ports, appliance_ports = claim.ports[: self.script.agents], claim.ports[self.script.agents :]
         self.agents = [
-            AgentProcess(number, port, self._configuration(number, port)) for number, port in enumerate(claim.ports)
+            AgentProcess(number, port, self._configuration(number, port)) for number, port in enumerate(agent_ports)
         ]
         try:
-            return await self._play()
+            return await self._play(appliance_ports)
         finally:
             for task in list(self._tasks):
                 task.cancel()
@@ -91,8 +93,8 @@
             claim.release()
             await asyncio.sleep(CLOSE_S)
 
-    async def _play(self) -> Recording:
-        await self._start_stand_ins()
+    async def _play(self, appliance_ports: list[int]) -> Recording:
+        await self._start_stand_ins(appliance_ports)
         watch = Watch(self.agents)
         await asyncio.gather(*(self._start(agent) for agent in self.agents))
         for agent in self.agents:
@@ -124,11 +126,13 @@
             self.timed,
         )
 
-    async def _start_stand_ins(self) -> None:
+    async def _start_stand_ins(self, appliance_ports: list[int]) -> None:
+        """Start all; the ports of appliances are claimed, as agents of other programs may try any other port."""
         for feeds in self.feeds:
             await feeds.start()
+        ports = iter(appliance_ports)
         for appliance in self.appliances:
-            await appliance.start()
+            await appliance.start(next(ports), next(ports))
             self._list(appliance)
 
     def _list(self, appliance: SoakAppliance) -> None:
@@ -355,8 +359,13 @@
 
     def _connections_left(self) -> list[str]:
         """Connections of agents, which have all ended, at appliances without a link that may hide their end."""
-        direct = [appliance for appliance in self.appliances if not appliance.relayed]
-        return [f"{one.id}: {len(one.stand_in.writers)}" for one in direct if one.stand_in.writers]
+        left = []
+        for appliance in self.appliances:
+            writers = appliance.stand_in.writers
+            if writers and not appliance.relayed:
+                ended = sum(peer_closed(writer.transport) for writer in writers)
+                left.append(f"{appliance.id}: {len(writers)}, of which {ended} have ended, unread")
+        return left
 
 
 async def play(script: events.Script, timed: bool = True) -> Recording:
--- a/otterquay/standins/resp.py
+++ b/otterquay/standins/resp.py
@@ -46,9 +46,9 @@
         self.writers: list[asyncio.StreamWriter] = []
         self.opened = 0
 
-    async def start(self) -> str:
-        """Listen on a free port."""
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+    async def start(self, port: int = 0) -> str:
+        """Listen on a port of loopback, by default a free one; returns HOST:PORT."""
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         self.address = "{}:{}".format(*self.server.sockets[0].getsockname()[:2])
         return self.address
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import io
 import json
 import sys
@@ -14,11 +15,13 @@
 
 import pytest
 
+from otterquay.addresses import split_address
 from otterquay.lab.attempt_audit import Audit
+from otterquay.lab.ports import TCP, claim_ports
 from otterquay.lab.soak import report
-from otterquay.lab.soak.appliances import SecondAnswer
+from otterquay.lab.soak.appliances import PORTS, SecondAnswer
 from otterquay.lab.soak.clients import SeenByClients
-from otterquay.lab.soak.day import Recording
+from otterquay.lab.soak.day import Day, Recording
 from otterquay.lab.soak.judge import COUNTS, Findings, judge
 from otterquay.lab.soak.process import ProcessRun
 from otterquay.lab.soak.requests import Request
@@ -243,6 +246,25 @@
     assert "second connection up 0.050 s after the end of the first, ended 0.050 s later" in written
 
 
+def test_appliances_listen_on_claimed_ports_only() -> None:
+    """Guards against agents of other programs, which may try a port that an appliance of theirs had before."""
+
+    async def listen() -> tuple[set[int], list[int]]:
+        day = Day(draw_script(SEED_OF_RECORDS), timed=False)
+        claim = claim_ports(PORTS * len(day.appliances), TCP)
+        await day._start_stand_ins(claim.ports)
+        addresses = [one.stand_in.address for one in day.appliances] + [
+            one.entry["hostPort"] for one in day.appliances
+        ]
+        for stand_in in (*day.appliances, *day.feeds):
+            stand_in.close()
+        claim.release()
+        return {split_address(address)[1] for address in addresses}, claim.ports
+
+    used, claimed = asyncio.run(listen())
+    assert used and used <= set(claimed)
+
+
 # --- the command ---
 def test_a_seed_draws_one_script_and_prints_it_when_it_fails(monkeypatch: pytest.MonkeyPatch) -> None:
     assert draw_script(7) == draw_script(7) != draw_script(8)
