Store: a sync goes to the file that has the name now, not to the one before it

A power loss might undo the mark that a store lacks writes, and attempts would count as without a store.

Cause: the sync subprocess keeps descriptors by name, and the mark is removed by a rename over its file.

Evidence: with a rename between two requests the second sync went to the first file (the test, which fails before).

Change: it compares the named file with the held one and opens the new one.

No power loss was played with it.

--- a/otterquay/store/syncer.py
+++ b/otterquay/store/syncer.py
@@ -9,14 +9,26 @@
 import sys
 
 
+def is_replaced(descriptor: int, path: str) -> bool:
+    """Whether another file has the path by now; one that was only removed is not replaced. OSError."""
+    try:
+        named = os.stat(path)
+    except FileNotFoundError:
+        return False
+    return not os.path.samestat(named, os.fstat(descriptor))
+
+
 def main(folder: str) -> None:
     """Answer requests until the end of the input."""
     files: dict[str, int] = {}
     for line in sys.stdin:
         name = line.rstrip("\n")
+        path = os.path.join(folder, name)
         try:
+            if name in files and is_replaced(files[name], path):
+                os.close(files.pop(name))
             if name not in files:
-                files[name] = os.open(os.path.join(folder, name), os.O_RDONLY)
+                files[name] = os.open(path, os.O_RDONLY)
             if name:
                 os.fdatasync(files[name])
             else:
--- a/tests/test_store_repair.py
+++ b/tests/test_store_repair.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import errno
+import os
 import random
 import resource
+import sys
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -14,7 +17,7 @@
 
 from otterquay.lab import torture as tt
 from otterquay.lab.disk import FaultDisk
-from otterquay.store import Put, Store, StoreFailed
+from otterquay.store import Put, Store, StoreFailed, syncer
 from otterquay.store.files import BackgroundSyncDisk
 from otterquay.store.reserve import RESERVE_BYTES, RESERVE_FILE
 
@@ -139,6 +142,28 @@
     asyncio.run(run())
 
 
+def test_the_sync_subprocess_syncs_the_file_that_has_a_name_now(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against a mark of missing writes that is never durable, as the file before it is synced."""
+    path, part, synced = tmp_path / RESERVE_FILE, tmp_path / "part", list[bytes]()
+
+    def requests() -> Iterator[str]:
+        path.write_bytes(b"first")
+        yield f"{RESERVE_FILE}\n"
+        part.write_bytes(b"second")
+        part.replace(path)
+        yield f"{RESERVE_FILE}\n"
+        path.unlink()
+        yield f"{RESERVE_FILE}\n"
+
+    monkeypatch.setattr(sys, "stdin", requests())
+    monkeypatch.setattr(os, "fdatasync", lambda descriptor: synced.append(os.pread(descriptor, 100, 0)))
+    syncer.main(str(tmp_path))
+    assert synced == [b"first", b"second", b"second"]
+    assert capsys.readouterr().out == "0\n0\n0\n"
+
+
 def test_a_store_in_files_that_may_not_grow_is_repaired_when_they_may(tmp_path: Path) -> None:
     """Guards against a difference between the simulated disk and files of the system (setrlimit(2))."""
 
