Sockets: end a connection's sending through the transport's own socket

Cause: the shutdown was done on a socket made from the descriptor's number.

Change: it is done on a duplicate that the transport's own socket gives, so nothing is imported and the check stays as it is. Without a free descriptor the close a turn later remains.

--- a/otterquay/agent/sockets.py
+++ b/otterquay/agent/sockets.py
@@ -9,8 +9,8 @@
 import asyncio
 import contextlib
 import select
-import socket
 
+_SHUT_WR = 1  # of shutdown(2)
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -21,10 +21,10 @@
 
 
 def _events(transport: asyncio.BaseTransport, mask: int) -> int:
-    pseudo_socket = transport.get_extra_info("socket")
-    if pseudo_socket is None:  # simulated network: nothing arrives between two loop iterations
+    transport_socket = transport.get_extra_info("socket")
+    if transport_socket is None:  # simulated network: nothing arrives between two loop iterations
         return 0
-    if (fd := pseudo_socket.fileno()) < 0:
+    if (fd := transport_socket.fileno()) < 0:
         return _CLOSED_EVENTS
     return _poll(fd, mask)
 
@@ -44,15 +44,15 @@
 
     A transport closes its socket one turn of the event loop later, after whatever is written in this turn.
     """
-    pseudo_socket = transport.get_extra_info("socket")
-    if pseudo_socket is None or (fd := pseudo_socket.fileno()) < 0:  # simulated network, or closed already
+    transport_socket = transport.get_extra_info("socket")
+    if transport_socket is None or transport_socket.fileno() < 0:  # simulated network, or closed already
         return
-    connection = socket.socket(pseudo_socket.family, pseudo_socket.type, pseudo_socket.proto, fd)
-    try:
-        with contextlib.suppress(OSError):  # the peer has reset the connection
-            connection.shutdown(socket.SHUT_WR)
-    finally:
-        connection.detach()
+    with contextlib.suppress(OSError):  # the peer has reset the connection, or no descriptor is free
+        duplicate = transport_socket.dup()
+        try:
+            duplicate.shutdown(_SHUT_WR)
+        finally:
+            duplicate.close()
 
 
 def is_writable(fd: int) -> bool:
