Review case 3: requests cross the last close of a planned restart when appliances hang

Cause: the requests that are held when the time of a planned restart runs out are answered before connections begin to close with their next answer, so theirs stay open and are closed together, after the listener.

All draws have a seed.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,10 +1,12 @@
-"""Requests are read and never answered: an appliance hangs, and over 32 wait on one client connection."""
+"""Requests cross the close at the end of a planned restart: appliances hang through the shutdown."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import random
+import select
+import signal
 import sys
 from collections import Counter
 from pathlib import Path
@@ -28,10 +30,31 @@
 from matchmaking import SETTINGS  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-RUN_S, DRAIN_S = 25.0, 8.0
-AGENTS, MATCHMAKERS = 3, 20
-REQUESTS_PER_S = 15.0  # of each client, on one connection
-DEADLINE_MS = 6000
+AGENTS, MATCHMAKERS, HANGING, CLIENTS = 3, 20, 13, 180
+RESTARTS = 18
+KILL_S, NEW_CONNECTIONS_S = 3.7, 0.3  # SIGKILL 3 s and 0.7 s after SIGTERM; new connections come for 0.2 to 0.4 s
+DEADLINE_S, TRY_SHARE = 6.0, (0.4, 1.0)
+WAIT_S, RETRIES = (0.15, 0.18), 3  # a fixed wait of each client between its tries, of 40 to 320 ms
+THINK_S = (0.5, 1.5)
+
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class Member:
+    """An agent with the time of its SIGTERM, None while it serves."""
+
+    def __init__(self, agent: Agent) -> None:
+        self.agent, self.ends_at, self.up = agent, 0.0, True
+
+    def takes_connections(self) -> bool:
+        return self.up and (not self.ends_at or now() - self.ends_at < NEW_CONNECTIONS_S)
+
+
+def has_ended(writer: asyncio.StreamWriter) -> bool:
+    """Whether the agent's end of the connection has come, asked of the kernel."""
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
 
 
 async def case(folder: Path, record: Record) -> int:
@@ -40,12 +63,14 @@
     discovery, platform = Discovery(), Platform()
     await discovery.start()
     await platform.start()
-    hanging = f"s-{random.randrange(MATCHMAKERS)}" if TROUBLE else ""
+    hanging: set[str] = set()
 
     async def serve(appliance: Appliance, options: dict[str, str], id: str) -> bytes | None:
-        if appliance.name == hanging:
-            await asyncio.sleep(60.0)
-        await asyncio.sleep(random.uniform(0.05, 0.1))
+        if appliance.name in hanging:
+            while appliance.name in hanging:
+                await asyncio.sleep(0.1)
+            return None
+        await asyncio.sleep(random.uniform(0.03, 0.06))
         return appliance.value(id)
 
     matchmakers = []
@@ -55,72 +80,116 @@
         await one.start()
         discovery.set(one.name, hostPort=one.address, zone=one.zone.name, version_no=1)
         matchmakers.append(one)
-    agents = [
-        Agent(folder, n, {**SETTINGS, "groupSize": AGENTS, "zone": n % 2}, discovery, platform)
-        for n in range(AGENTS)
-    ]
-    lost: list[str] = []
+    settings = {**SETTINGS, "groupSize": AGENTS}
+    members = [Member(Agent(folder, n, {**settings, "zone": n % 2}, discovery, platform)) for n in range(AGENTS)]
     answers: Counter[str] = Counter()
-    asked = 0
-    record(f"hanging: {hanging or 'none'}")
+    lost: list[str] = []
+    asked, stop = 0, False
 
-    async def play(agent: Agent, end: float) -> None:
-        """Send on one connection and take the answers in order; begin a new connection where the agent ends it."""
+    async def play(member: Member) -> None:
+        """One request at a time on a kept connection; what crosses its end is sent once more on a new one."""
         nonlocal asked
-        while now() < end:
-            host, port = agent.listen.split(":")
-            reader, writer = await asyncio.open_connection(host, int(port))
-            waiting: list[str] = []
-
-            async def read() -> None:
-                while True:
-                    answer = await read_answer(reader)
-                    if not waiting:
-                        record(f"{agent.name} closes a connection that nothing waits on: {answer!r}")
-                        continue
-                    id = waiting.pop(0)
-                    answers[answer[:5].decode("latin-1")] += 1
-                    record(f"{agent.name} answers {id}: {answer[:60]!r}")
-
-            reading = asyncio.create_task(read())
+        host, port = member.agent.listen.split(":")
+        wait = random.uniform(*WAIT_S)
+        streams: Streams | None = None
+        tries = 0
+        await asyncio.sleep(random.uniform(0, THINK_S[1]))
+        while not stop:
+            if streams is None or has_ended(streams[1]):
+                if streams:
+                    streams[1].close()
+                streams = None
+                if not member.takes_connections():
+                    await asyncio.sleep(0.1)
+                    continue
+                try:
+                    streams = await asyncio.open_connection(host, int(port))
+                except OSError:
+                    await asyncio.sleep(0.1)
+                    continue
+            asked += 1
+            id, deadline = f"{asked:016x}", DEADLINE_S * random.uniform(*TRY_SHARE)
+            options = f"c=lobby-read,t=pacu-games,d={int(deadline * 1e3)}"
+            data = encode([b"SVC.QUERY", f"u{id}".encode(), id.encode(), options.encode()])
+            if has_ended(streams[1]):
+                continue
+            streams[1].write(data)
+            record(f"client sends {id} to {member.agent.name}")
             try:
-                while now() < end and not reading.done():
-                    asked += 1
-                    id = f"{asked:016x}"
-                    options = f"c=lobby-read,t=pacu-games,d={DEADLINE_MS}"
-                    # what is written after the agent has ended the connection is not counted as taken
-                    writer.write(encode([b"SVC.QUERY", f"u{id}".encode(), id.encode(), options.encode()]))
-                    waiting.append(id)
-                    record(f"client of {agent.name} sends {id}, {len(waiting)} wait on this connection")
-                    await asyncio.sleep(random.expovariate(REQUESTS_PER_S))
-                if not reading.done():
-                    await asyncio.wait([reading], timeout=DRAIN_S if waiting else 0.0)
-                if reading.done():
-                    reading.exception()
-                    record(f"{agent.name} has ended the connection, {len(waiting)} requests on it have no answer")
-                    # the last one may have crossed the end of the connection unread: the client may send it again
-                    lost.extend(waiting[:-1])
-            finally:
-                reading.cancel()
-                writer.close()
+                answer = await asyncio.wait_for(read_answer(streams[0]), deadline + 0.55)
+            except TimeoutError:
+                lost.append(f"{id} (no answer)")
+                record(f"{id} is not answered within its time")
+                streams[1].close()
+                streams = None
+                continue
+            except (OSError, asyncio.IncompleteReadError):
+                streams[1].close()
+                streams = None
+                if not member.ends_at or now() - member.ends_at >= KILL_S:
+                    continue
+                since = now() - member.ends_at
+                record(
+                    f"{member.agent.name} ends the connection of {id}, {since:.4f} s after SIGTERM; sent once more"
+                )
+                try:
+                    streams = await asyncio.open_connection(host, int(port))
+                    streams[1].write(data)
+                    answer = await asyncio.wait_for(read_answer(streams[0]), deadline + 0.55)
+                except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+                    streams = None
+                    lost.append(f"{id} ({member.agent.name}, {since:.4f} s after SIGTERM)")
+                    record(f"{id} finds nobody: {type(error).__name__}")
+                    continue
+            answers[answer[:5].decode("latin-1") if answer[:1] == b"-" else "served"] += 1
+            record(f"{member.agent.name} answers {id}: {answer[:40]!r}")
+            if answer[:1] == b"-" and tries < RETRIES:
+                tries += 1
+                await asyncio.sleep(wait)
+            else:
+                tries = 0
+                await asyncio.sleep(random.uniform(*THINK_S))
 
+    players: list[asyncio.Task[None]] = []
+    late = 0
     try:
-        for agent in agents:
-            agent.start()
-        await asyncio.gather(*(agent.ready() for agent in agents))
-        end = now() + RUN_S
-        await asyncio.gather(*(play(agent, end) for agent in agents))
-        for agent in agents:
-            assert agent.process and agent.process.poll() is None, "an agent has ended"
+        for member in members:
+            member.agent.start()
+        await asyncio.gather(*(member.agent.ready() for member in members))
+        players = [asyncio.create_task(play(member)) for member in members for _ in range(CLIENTS)]
+        await asyncio.sleep(2.5)
+        for number in range(RESTARTS):
+            member = members[number % AGENTS]
+            if TROUBLE:
+                hanging.update(one.name for one in random.sample(matchmakers, HANGING))
+            member.ends_at = now()
+            member.agent.signal(signal.SIGTERM)
+            record(f"SIGTERM to {member.agent.name}")
+            while member.agent.process.poll() is None and now() - member.ends_at < KILL_S:
+                await asyncio.sleep(0.005)
+            took, code = now() - member.ends_at, member.agent.process.poll()
+            late += code is None
+            record(f"{member.agent.name} has ended with {code} after {took:.3f} s; lost so far {len(lost)}")
+            member.up = False
+            member.agent.end()
+            hanging.clear()
+            member.agent.start()
+            await member.agent.ready()
+            member.up, member.ends_at = True, 0.0
+            await asyncio.sleep(1.2)
+        stop = True
+        await asyncio.wait(players, timeout=7.0)
     finally:
-        for agent in agents:
-            agent.end()
+        for player in players:
+            player.cancel()
+        for member in members:
+            member.agent.end()
         for listener in (*matchmakers, discovery, platform):
             listener.close()
-    record(f"asked {asked}, answers {dict(answers)}, never answered {len(lost)}: {' '.join(lost)}")
-    print(f"asked {asked}; {len(lost)} were taken and never answered, their connection ended by the agent")
-    return 1 if lost else 0 if asked > 500 else 2
+    record(f"asked {asked}, answers {dict(answers)}, killed by SIGKILL {late}, lost {len(lost)}: {' '.join(lost)}")
+    print(f"asked {asked} over {RESTARTS} planned restarts; {len(lost)} found nobody or no answer")
+    return 1 if lost else 0 if asked > 1000 else 2
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(bounded(case, 100.0, HERE / "record.txt")))
+    sys.exit(asyncio.run(bounded(case, 115.0, HERE / "record.txt")))
--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -368,6 +368,9 @@
 async def bounded(case: Callable[[Path, Record], Awaitable[int]], seconds: float, out: Path) -> int:
     """Run a case in a temporary folder within the time; 2 where it could not run."""
     folder, record = Path(tempfile.mkdtemp(prefix="otterquay-review-")), Record()
+    seed = int(os.environ.get("SEED", "1"))  # of all draws; what comes of them still hangs on the real clock
+    random.seed(seed)
+    record(f"seed {seed}")
     task = asyncio.current_task()
     assert task
     for number in (signal.SIGTERM, signal.SIGINT):  # the agents end with the script
