Front: log which connections are open as a planned end closes the listener

A warning `closed_with_clients_open` now counts them by activity (a request open, a command begun, closing, or the last answer: none, served, refused, failed), with how many have bytes unread. `LastAnswer` takes the place of a prefix that was compared in place; what closes when is as before.

--- a/otterquay/node/client.py
+++ b/otterquay/node/client.py
@@ -38,6 +38,22 @@
     CLOSED = 2
 
 
+class LastAnswer(Enum):
+    """The kind of the last answer that was written to a connection."""
+
+    NONE = "none"
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+    @staticmethod
+    def of(answer: bytes) -> LastAnswer:
+        """Classify the bytes of an answer."""
+        if not answer.startswith(b"-"):
+            return LastAnswer.SERVED
+        return LastAnswer.REFUSED if answer.startswith(b"-BUSY") else LastAnswer.FAILED
+
+
 class ConnectionOwner(Protocol):
     """What a connection needs of the listener that accepted it."""
 
@@ -109,6 +125,7 @@
         "front",
         "half_since",
         "idle_since",
+        "last_answer",
         "parser",
         "read_at",
         "slots",
@@ -122,6 +139,7 @@
         self.state, self.write_stall = State.OPEN, WriteStall()
         self.feeding = False  # a chunk of commands is being handled; no flush or close until its last one
         self.awaits_first_request = False  # accepted in a drain, and nothing has come yet
+        self.last_answer = LastAnswer.NONE
         self.half_since: float | None = None
         self.ending_since, self.bytes_dropped = 0.0, 0
 
@@ -234,8 +252,9 @@
             self.transport.write(data)
             self.write_stall.written += len(data)
             self.idle_since = self.front.active_time()
+            self.last_answer = LastAnswer.of(ready[-1])
         # while draining, a client that was refused may retry at once, so until the end only a served one is closed
-        served = bool(ready) and not ready[-1].startswith(b"-")
+        served = bool(ready) and LastAnswer.of(ready[-1]) is LastAnswer.SERVED
         last = served or (bool(ready) and self.front.finishing)
         done = self.front.draining and last and not self.parser.started
         if not self.slots and (self.state is State.ENDING or done):
@@ -250,6 +269,14 @@
             and not has_unread_data(self.transport)
         )
 
+    def activity(self) -> str:
+        """What the connection is doing, in one word for the log; if it is idle, its last answer."""
+        if self.state is not State.OPEN:
+            return "closing"
+        if self.slots:
+            return "request_open"
+        return "command_begun" if self.parser.started else self.last_answer.value
+
     def close(self) -> None:
         """Close after the write buffer has been sent."""
         self.state = State.CLOSED
--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -7,11 +7,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
 
 from otterquay import interface as it
 from otterquay.addresses import split_address
 from otterquay.agent.ports import RequestHandler
+from otterquay.agent.sockets import has_unread_data
 from otterquay.agent.stall_detector import HEARTBEAT_S, StallDetector
 from otterquay.logs import Logger
 from otterquay.node.client import ClientConnection
@@ -117,9 +119,18 @@
         for timer in (self._heartbeat_timer, self._sweep_timer, self._drain_timer):
             if timer:
                 timer.cancel()
+        self._log_open_clients()
         for client in list(self.clients):
             client.close()
 
+    def _log_open_clients(self) -> None:
+        """Log which connections are open as the listener closes: a request that comes on one now is lost."""
+        if not self.clients:
+            return
+        unread = sum(has_unread_data(client.transport) for client in self.clients)
+        activities = Counter(client.activity() for client in self.clients)
+        self.log.warning("closed_with_clients_open", open=len(self.clients), unread=unread, **activities)
+
     def add_client(self, client: ClientConnection) -> None:
         """Register a new connection; shed one if there are too many."""
         self._last_change = self.now()
