Drain: every connection closes while the listener stands, in one order

Cause: a connection that was refused in a drain stays open for a client that asks again at once. It closed after 0.1 s of silence, but one connection each 5 ms, with 0.15 s left; the rest closed with the listener. Requests that hang are refused near one moment, as all are told the end of the drain, so there were dozens.

Change: `ShutdownSchedule` divides the time: the last answers at 0.2 s and the longest deadline (0.5 s before), the listener 0.3 s longer, 0.2 s for the process to end (0.05 s before). `ConnectionDrain` closes what has been quiet for 0.1 s, however many; only connections that are idle as the drain begins are spread, over 0.3 s. Half commands get an error and silent connections end 0.1 s before the listener. This holds for any number and deadline, as no connection that can bring a request is left as the listener closes, and what crossed a close has 0.1 s or more to come again.

Two constants that tests name changed: LINGER_S is 0.2, so requests of 0.2 to 0.5 s after SIGTERM have less than their whole deadline where it is 3 s; FLUSH_S is 0.3. `test_a_planned_end_fits_between_sigterm_and_sigkill` keeps its lines and gains two: nothing closes for 0.4 s, and 0.2 s are left at the end.

--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -183,10 +183,10 @@
             if client.number is None and not client.waiting:
                 client.writer.close()
 
-    def finish(self) -> None:
+    def finish(self, listener_until: float) -> None:
         """Nothing more to do: a drain closes each connection after its next answer."""
 
-    def drained(self) -> bool:
+    def drained(self, quiet_s: float) -> bool:
         """Clients that have their answers are not waited for."""
         return True
 
--- a/otterquay/agent/lifecycle.py
+++ b/otterquay/agent/lifecycle.py
@@ -47,7 +47,8 @@
 class Lifecycle:
     """Start, graceful shutdown and close of the runtime."""
 
-    settle_s = 0.0  # time for the last answers of a drain to be sent
+    settle_s = 0.0  # for which the listener outlasts the last answers of a drain
+    crossing_s = 0.0  # after the last open or close of a connection, in which a request that crossed it may come
     drains_full_time = False  # whether a drain lasts until `drain_until` although nothing is open any more
     ports: Ports
     settings: it.Settings
@@ -87,15 +88,15 @@
         return bound
 
     async def stop(self, within_s: float) -> None:
-        """Shut down gracefully: drain within this time, let the last answers be sent, then close. Idempotent."""
+        """Shut down gracefully: drain within this time, let all connections end, then close. Idempotent."""
         if self.phase in (Phase.DRAINING, Phase.CLOSED):
             return
         self.drain_until = min(self.drain_until, self._now() + within_s)
         await self.drain()
-        self.ports.front.finish()
-        settle_until = self._now() + self.settle_s  # requests that arrive meanwhile are refused
-        while self._now() < settle_until and not self.ports.front.drained():
-            await asyncio.sleep(DRAIN_POLL_S)
+        listener_until = self._now() + self.settle_s  # requests that arrive meanwhile are refused
+        self.ports.front.finish(listener_until)
+        while (left := listener_until - self._now()) > 0 and not self.ports.front.drained(self.crossing_s):
+            await asyncio.sleep(min(left, DRAIN_POLL_S))
         self.close()
         self.log.info("agent_stopped", **self.counts)
 
@@ -118,7 +119,7 @@
         return (
             not self.drains_full_time
             and not any(open_request.client for open_request in self.open_requests.values())
-            and self.ports.front.drained()
+            and self.ports.front.drained(self.crossing_s)
         )
 
     def _fail_open_request(self, open_request: OpenRequest) -> None:
--- a/otterquay/agent/ports.py
+++ b/otterquay/agent/ports.py
@@ -134,11 +134,11 @@
     def drain(self) -> None:
         """Start a graceful shutdown: close idle connections now, the others after their answers."""
 
-    def finish(self) -> None:
-        """Take no further request: close each connection after its next answer."""
+    def finish(self, listener_until: float) -> None:
+        """Take no further request: close all connections before this time, at which the listener closes."""
 
-    def drained(self) -> bool:
-        """Whether the drain need not wait for any client."""
+    def drained(self, quiet_s: float) -> bool:
+        """Whether the drain need not wait for any client: none has come or gone for this long."""
 
     def close(self) -> None: ...
 
--- a/otterquay/node/agent.py
+++ b/otterquay/node/agent.py
@@ -19,6 +19,7 @@
 from otterquay.node.peers import PeerSocket
 from otterquay.node.platform import PlatformClient
 from otterquay.node.resp_codec import RespCodec
+from otterquay.node.shutdown_schedule import FLUSH_S, ShutdownSchedule
 from otterquay.policy.agent import Agent
 
 RESERVED_SOCKETS = 32  # file descriptors for the listener, feeds, files and the event loop
@@ -31,23 +32,13 @@
 MIN_REUSE_IDLE_S = 0.01
 # Fields that may differ on reload: the first two are applied, the others are read only at the start.
 RELOAD_ALLOWED_FIELDS = ("discovery", "platform", "news", "known", "seed")
-# The protocol allows a graceful shutdown the longest class deadline, capped at 3 s, plus 0.7 s. LINGER_S covers the
-# 0.4 s for which new connections keep arriving, FLUSH_S the sending of the last answers; the rest is for closing.
-MAX_DEADLINE_S = 3.0
-LINGER_S = 0.5
-FLUSH_S = 0.15
-
-
-def shutdown_time_s(settings: it.Settings) -> float:
-    """Seconds from SIGTERM to the last answer of a graceful shutdown."""
-    longest = max(cls.deadline_ms for cls in settings.classes) / 1e3
-    return LINGER_S + min(longest, MAX_DEADLINE_S)
 
 
 class Node(Runtime):
     """The runtime on the platform's sockets. `wall` returns Unix time in seconds."""
 
     settle_s = FLUSH_S
+    crossing_s = FLUSH_S
     # A client sends a request that crossed the close of its connection once more, on a new one and until the
     # request's deadline; only this agent's listener is there for it.
     drains_full_time = True
@@ -119,18 +110,18 @@
             self._end_requested_at = now - self.front.stall_detector.max_signal_wait_s(now)
 
     async def shut_down(self) -> None:
-        """Shut down before SIGKILL is due: accept requests for LINGER_S, then drain those that are still open.
+        """Shut down before SIGKILL is due, by the steps of `ShutdownSchedule`.
 
-        The listener stays for `shutdown_time_s` after the signal, also when nothing is open any more, and for
-        LINGER_S at least.
+        The listener stays for the whole of its time, also when nothing is open any more.
         """
         now = self._now()
         waited_s = 0.0 if self._end_requested_at is None else now - self._end_requested_at
-        remaining_s = max(shutdown_time_s(self.settings) - waited_s, LINGER_S)
-        self.drain_until = now + remaining_s
-        self.log.info("agent_leaving", held=len(self.open_requests), within_s=remaining_s)
-        await asyncio.sleep(LINGER_S)
-        await self.stop(remaining_s - LINGER_S)
+        schedule = ShutdownSchedule.of(self.settings, waited_s)
+        self.settle_s = schedule.listener_outlasts_s
+        self.drain_until = now + schedule.answers_within_s
+        self.log.info("agent_leaving", held=len(self.open_requests), within_s=schedule.answers_within_s)
+        await asyncio.sleep(schedule.drain_after_s)
+        await self.stop(self.drain_until - self._now())
         await asyncio.sleep(DRAIN_POLL_S)  # lets the connections finish closing
         if self.front.clients:
             self.log.warning("left_with_connections_open", open=len(self.front.clients))
--- a/otterquay/node/client.py
+++ b/otterquay/node/client.py
@@ -58,13 +58,19 @@
     """What a connection needs of the listener that accepted it."""
 
     ids: set[bytes]  # ids of open requests
-    draining: bool
-    finishing: bool  # a connection closes after its next answer
     reader: RequestReader
     request_handler: RequestHandler
     stall_detector: StallDetector
     log: Logger
 
+    @property
+    def draining(self) -> bool:
+        """Whether a connection closes after a served answer."""
+
+    @property
+    def finishing(self) -> bool:
+        """Whether a connection closes after its next answer."""
+
     def now(self) -> float:
         """Seconds on the event loop's clock."""
 
--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -17,15 +17,12 @@
 from otterquay.agent.stall_detector import HEARTBEAT_S, StallDetector
 from otterquay.logs import Logger
 from otterquay.node.client import ClientConnection
+from otterquay.node.connection_drain import CLOSE_INTERVAL_S, QUIET_PERIOD_S, ConnectionDrain, idle_connections
 from otterquay.node.request_reader import RequestReader
 from otterquay.ordered_set import OrderedSet
 from otterquay.protocol import resp
 
-# A connection that was idle for less may be about to send a request; once none was opened for this long, no client
-# is still retrying a request that crossed a close.
-QUIET_PERIOD_S = 0.1
 SWEEP_INTERVAL_S = 0.1
-DRAIN_CLOSE_INTERVAL_S = 0.005  # between two closes during a drain
 
 
 @dataclass(slots=True)
@@ -40,10 +37,9 @@
     log: Logger
     clients: OrderedSet[ClientConnection] = field(default_factory=OrderedSet)
     ids: set[bytes] = field(default_factory=set)  # ids of open requests
-    draining: bool = False
-    finishing: bool = False  # no further request is taken: each connection closes after its next answer
     stall_detector: StallDetector = field(default_factory=lambda: StallDetector(0.0))
     reader: RequestReader = field(init=False)
+    _drain: ConnectionDrain | None = None
     _last_change: float = 0.0  # when a connection was last opened or closed
     _active_s: float = 0.0
     _last_sweep: float = 0.0
@@ -76,44 +72,46 @@
         name = self._server.sockets[0].getsockname()
         return str(name[0]), int(name[1])
 
+    @property
+    def draining(self) -> bool:
+        """Whether connections close while they are idle or with their answers."""
+        return self._drain is not None
+
+    @property
+    def finishing(self) -> bool:
+        """Whether no further request is taken, and each connection closes with its next answer."""
+        return self._drain is not None and self._drain.finishing
+
     def drain(self) -> None:
         """Close idle connections that have been quiet, and the others after their answers.
 
         The listener stays open until `close`: a client whose request crossed the close of its connection retries on
         a new one.
         """
-        self.draining, self._last_change = True, self.now()
-        self._close_next_idle()
-
-    def _close_next_idle(self) -> None:
-        """Close the longest idle connection that has been quiet, one at a time.
+        self._last_change = self.now()
+        self._drain = ConnectionDrain(self._last_change)
+        self._close_due()
 
-        A request that arrives between the check of a socket and its close crosses the close; closing many
-        connections in one turn would lengthen that window. A connection that came in the drain and has brought
-        nothing yet is kept until the drain's time is up: its client has a request that crossed such a close.
-        """
+    def _close_due(self) -> None:
         assert self._loop
-        idle_before = self.active_time() - QUIET_PERIOD_S
-        quiet = [client for client in self.clients if client.idle_since <= idle_before]
-        if client := self._idlest([c for c in quiet if self.finishing or not c.awaits_first_request]):
-            client.close()
-        self._drain_timer = self._loop.call_later(DRAIN_CLOSE_INTERVAL_S, self._close_next_idle)
+        assert self._drain
+        self._drain.close_due(self.clients, self.now(), self.active_time())
+        self._drain_timer = self._loop.call_later(CLOSE_INTERVAL_S, self._close_due)
 
-    def finish(self) -> None:
-        """Close each connection after its next answer, whatever that is.
+    def finish(self, listener_until: float) -> None:
+        """Close all connections before the listener closes, at this time on the event loop's clock.
 
-        The listener stays open until `close`. A connection in use until then would leave a request that crosses its
-        end without a place to go.
+        A connection in use until then would leave a request that crosses its end without a place to go.
         """
-        self.finishing = True
+        if self._drain:
+            self._drain.listener_until = listener_until
 
-    def drained(self) -> bool:
-        """Whether no connection is left and none was opened or closed within the quiet period."""
-        return not self.clients and self.now() - self._last_change >= QUIET_PERIOD_S
+    def drained(self, quiet_s: float = QUIET_PERIOD_S) -> bool:
+        """Whether no connection is left and none was opened or closed for this long."""
+        return not self.clients and self.now() - self._last_change >= quiet_s
 
     def close(self) -> None:
         """Close the listener, then all connections."""
-        self.draining = True
         if self._server:
             self._server.close()
         for timer in (self._heartbeat_timer, self._sweep_timer, self._drain_timer):
@@ -147,7 +145,8 @@
         """Close the longest idle connection, or the new one if the limit is reached and no other is idle."""
         at_limit = len(self.clients) > self.max_clients
         idle_before = self.active_time() - (0.0 if at_limit else QUIET_PERIOD_S)
-        client = self._idlest([c for c in self.clients if c.idle_since < idle_before and c is not newest]) or newest
+        candidates = [c for c in self.clients if c.idle_since < idle_before and c is not newest]
+        client = next(idle_connections(candidates), newest)
         if client is newest and not at_limit:
             return
         self.log.info("client_shed", open=len(self.clients), new=client is newest)
@@ -156,12 +155,6 @@
             client.transport.write(resp.encode_error("ERR max number of clients reached"))
         client.close()
 
-    @staticmethod
-    def _idlest(candidates: list[ClientConnection]) -> ClientConnection | None:
-        """The longest idle of these connections; polls sockets in that order and stops at the first idle one."""
-        waiting = sorted([c for c in candidates if not c.slots], key=lambda c: c.idle_since)
-        return next((c for c in waiting if c.is_idle()), None)
-
     def _heartbeat(self) -> None:
         assert self._loop
         self.stall_detector.heartbeat(self.now())
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -13,9 +13,16 @@
 from otterquay.agent.lifecycle import DRAIN_POLL_S, Phase
 from otterquay.agent.sockets import has_unread_data
 from otterquay.agent.stall_detector import HEARTBEAT_S
-from otterquay.node.agent import FLUSH_S, LINGER_S, shutdown_time_s
 from otterquay.node.client import State
-from otterquay.node.front import QUIET_PERIOD_S
+from otterquay.node.connection_drain import QUIET_PERIOD_S
+from otterquay.node.shutdown_schedule import (
+    END_RESERVE_S,
+    FLUSH_S,
+    LINGER_S,
+    NEW_CONNECTIONS_S,
+    ShutdownSchedule,
+    shutdown_time_s,
+)
 from otterquay.standins.resp import served
 from tests.crossings.forcing import (
     LOOPS,
@@ -142,6 +149,10 @@
                 "with time left to close"
             )
             assert shutdown_time_s(rig.node.settings) >= LINGER_S + min(max(deadlines) / 1e3, 3.0)
+            schedule = ShutdownSchedule.of(rig.node.settings, 0.0)
+            listener_s = schedule.answers_within_s + schedule.listener_outlasts_s
+            assert NEW_CONNECTIONS_S <= schedule.drain_after_s < listener_s, "new connections come for 0.4 s"
+            assert listener_s + END_RESERVE_S <= kill_s + 1e-9, "with time left on a busy machine"
 
     run(work)
 
--- a/tests/crossings/test_process.py
+++ b/tests/crossings/test_process.py
@@ -18,7 +18,7 @@
 
 import pytest
 
-from otterquay.node.agent import LINGER_S, shutdown_time_s
+from otterquay.node.shutdown_schedule import LINGER_S, shutdown_time_s
 from otterquay.standins.resp import never_answer, served
 from tests.crossings.forcing import run
 from tests.noderig import CLASSES, Rig, answer
