Front: a crowd in a drain does not shed a connection that a crossing request needs

Callers may see: a request crosses the close of its connection in a drain, its client connects anew and, held up before its write, finds the second connection ended too. Above a fifth of the descriptors each new connection closes the one idle longest, and a new one that has brought nothing counts as idle.

Cause: the rule that keeps such connections in a drain stood in the drain alone; `shed` did not know it.

Change: below the bound on connections `shed` passes over connections that came in the drain and have brought nothing. At the bound they go as before, as a new one could not be taken otherwise.

Result: test_a_crowd_in_a_drain_does_not_close_a_connection_for_a_request_that_crossed_a_close failed before, with the change of front.py taken out, and passes now; tests/crossings, test_node and two more files: 503 passed.

--- a/otterquay/node/front.py
+++ b/otterquay/node/front.py
@@ -142,10 +142,20 @@
         self.clients.discard(client)
 
     def shed(self, newest: ClientConnection) -> None:
-        """Close the longest idle connection, or the new one if the limit is reached and no other is idle."""
+        """Close the longest idle connection, or the new one if the limit is reached and no other is idle.
+
+        One that came in a drain and has brought nothing yet may be needed for a request that crossed a close, so it
+        is closed at the limit only.
+        """
         at_limit = len(self.clients) > self.max_clients
         idle_before = self.active_time() - (0.0 if at_limit else QUIET_PERIOD_S)
-        candidates = [c for c in self.clients if c.idle_since < idle_before and c is not newest]
+        candidates = [
+            client
+            for client in self.clients
+            if client.idle_since < idle_before
+            and client is not newest
+            and (at_limit or not client.awaits_first_request)
+        ]
         client = next(idle_connections(candidates), newest)
         if client is newest and not at_limit:
             return
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -295,6 +295,26 @@
     run(work, STEP_CLOCK)
 
 
+def test_a_crowd_in_a_drain_does_not_close_a_connection_for_a_request_that_crossed_a_close() -> None:
+    """Guards against shedding the connection on which a client is about to send its request again."""
+
+    async def work() -> None:
+        async with Rig(count=1, sockets=100) as rig:
+            front = rig.node.front
+            leaving = asyncio.ensure_future(rig.node.shut_down())
+            await rig.until(lambda: rig.node.phase is Phase.DRAINING)
+            reader, writer = await rig.connect()
+            await asyncio.sleep(2 * QUIET_PERIOD_S)
+            for _ in range(front.shed_above + 1):
+                await rig.connect()
+            assert front.shed_above < len(front.clients) <= front.max_clients
+            writer.write(rig.encode_request(id="again"))
+            assert await answer(reader) == b"for again"
+            await leaving
+
+    run(work, STEP_CLOCK)
+
+
 def test_a_silent_connection_of_a_drain_is_closed_once_its_time_is_up_while_the_listener_still_stands() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
