Front of HTTP: connections close before the listener, and new ones are refused with 503

Callers see: an agent of HTTP that stops closes their idle connection; a request that crossed the close, sent again on a new connection as RFC 9112 section 9.3.1 lets them, is refused by the kernel, as the listener had closed first.

Cause: the same order as in service, on a related path: `Front.drain` closed the listener, then the connections. One whose request had been taken before the drain even stayed open after its answer.

Change: a drain closes idle connections, others with their answer, and keeps the listener until none is left and none came or went for 0.1 s, or for 0.1 s after `agent.stop_within`. New connections are read and refused with 503.

`test_a_stop_takes_nothing_new_and_answers_all_it_holds` wanted a refused connect during the stop, which is the fault. In its place it wants a request on a new connection to be refused there, and the refused connect after the stop.

--- a/otterquay/agent/front.py
+++ b/otterquay/agent/front.py
@@ -14,7 +14,7 @@
 
 from otterquay.addresses import split_address
 from otterquay.agent.ports import ClientRequest, FinalAnswer, RequestHandler
-from otterquay.agent.sockets import peer_closed
+from otterquay.agent.sockets import has_unread_data, peer_closed
 from otterquay.agent.stall_detector import HEARTBEAT_S, StallDetector
 from otterquay.agent.write_stall import WriteStall
 from otterquay.config.schema import Service
@@ -102,6 +102,7 @@
 
     writer: asyncio.StreamWriter
     process_waiting: Callable[[Client], None]
+    is_draining: Callable[[], bool]
     waiting: deque[tuple[HttpRequest, float]] = field(default_factory=deque)  # with its earliest arrival time
     number: int | None = None
     keep_alive: bool = True
@@ -112,7 +113,9 @@
     wake: asyncio.Event = field(default_factory=asyncio.Event)
 
     def final(self, answer: FinalAnswer) -> None:
-        """Write the final answer as an HTTP response."""
+        """Write the final answer as an HTTP response; it ends a connection with nothing waiting in a drain."""
+        if self.is_draining() and not self.waiting:
+            self.keep_alive = False
         if answer.kind == "refused":
             return self.answer(refusal_answer("refused", self.keep_alive, answer.retry_after_ms))
         status, headers = answer.status, answer.headers
@@ -134,6 +137,11 @@
         """Whether the client has closed the connection, even if that is not read yet."""
         return peer_closed(self.writer.transport)
 
+    def is_idle(self) -> bool:
+        """Whether no request is in progress, waiting or under way."""
+        nothing_held = self.number is None and not self.waiting and self.head_since is None
+        return nothing_held and not has_unread_data(self.writer.transport)
+
     def answer(self, data: bytes) -> None:
         """Write the final answer to the current request."""
         self.number = None
@@ -155,6 +163,7 @@
     log: Logger
     clients: OrderedSet[Client] = field(default_factory=OrderedSet)
     stopping: bool = False
+    _last_change: float = 0.0  # when a connection was last opened or closed
     _server: asyncio.Server | None = None
     _sweeper: asyncio.TimerHandle | None = None
     _heartbeat_timer: asyncio.TimerHandle | None = None
@@ -175,24 +184,29 @@
         return str(name[0]), int(name[1])
 
     def drain(self) -> None:
-        """Accept no new connections; close the idle ones now, the others after their answers."""
+        """Refuse new requests; close the idle connections now, the others after their answers.
+
+        The listener stays open until `close`: a client whose request crossed the close of its connection may send
+        it again on a new one (RFC 9112 section 9.3.1), and is refused there.
+        """
         self.stopping = True
-        if self._server:
-            self._server.close()
+        self._last_change = asyncio.get_running_loop().time()
         for client in list(self.clients):
-            if client.number is None and not client.waiting:
+            if client.is_idle():
                 client.writer.close()
 
     def finish(self, listener_until: float) -> None:
         """Nothing more to do: a drain closes each connection after its next answer."""
 
     def drained(self, quiet_s: float) -> bool:
-        """Clients that have their answers are not waited for."""
-        return True
+        """Whether no connection is left and none was opened or closed for this long."""
+        return not self.clients and asyncio.get_running_loop().time() - self._last_change >= quiet_s
 
     def close(self) -> None:
-        """Close all open connections."""
-        self.drain()
+        """Close the listener and all open connections."""
+        self.stopping = True
+        if self._server:
+            self._server.close()
         for timer in (self._sweeper, self._heartbeat_timer):
             if timer:
                 timer.cancel()
@@ -201,9 +215,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         bounds = self.service.front
-        client = Client(writer, self.process_waiting, idle_since=asyncio.get_running_loop().time())
-        if len(self.clients) >= bounds.max_connections or self.stopping:
-            self.log.warning("connection_refused", open=len(self.clients), stopping=self.stopping)
+        now = self._last_change = asyncio.get_running_loop().time()
+        client = Client(writer, self.process_waiting, lambda: self.stopping, idle_since=now)
+        if len(self.clients) >= bounds.max_connections:
+            self.log.warning("connection_refused", open=len(self.clients))
             client.keep_alive = False
             return client.answer(refusal_answer("no more connections here", False))
         self.clients.add(client)
@@ -223,6 +238,7 @@
             pass  # the event loop is shutting down
         finally:
             self.clients.discard(client)
+            self._last_change = asyncio.get_running_loop().time()
             if client.resuming:
                 client.resuming.cancel()
             if client.number is not None:
--- a/otterquay/agent/http_agent.py
+++ b/otterquay/agent/http_agent.py
@@ -31,6 +31,7 @@
 from otterquay.protocol.sse import SseEvent
 from otterquay.store import Store
 
+CROSSING_S = 0.1  # in which a client sends a request again that crossed the close of its connection
 ATTEMPT_HEADER, AGENT_HEADER = b"otterquay-attempt", b"otterquay-agent"
 UNFORWARDED_HEADERS = HOP_BY_HOP | {BUDGET_HEADER, ATTEMPT_HEADER, AGENT_HEADER}
 UNRETURNED_HEADERS = HOP_BY_HOP | {ATTEMPT_HEADER, ANSWER_HEADER, orca.HEADER}
@@ -212,6 +213,9 @@
 class HttpAgent(Runtime):
     """An agent over HTTP, with chat, a store, and messages between agents under a shared key."""
 
+    settle_s = CROSSING_S
+    crossing_s = CROSSING_S
+
     def __init__(
         self,
         service: Service,
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -392,8 +392,7 @@
             await rig.until(lambda: len(peers) == 5)
             stopping = asyncio.ensure_future(rig.runtime.stop())
             assert await idle_reader.read() == b""
-            with pytest.raises(OSError):
-                await asyncio.open_connection(*rig.address)
+            assert kind(await rig.get()) == "refused"
             lines[0][1].write(rig.ask())  # queued behind an open request: too late to be accepted
             await asyncio.sleep(0.05)
             assert not stopping.done()
@@ -402,11 +401,33 @@
             for reader, _ in lines:
                 assert kind((await rig.answers(reader))[0]) == "served"
             await stopping
+            with pytest.raises(OSError):
+                await asyncio.open_connection(*rig.address)
             assert len(rig.seen(it.Request)) <= 6
 
     run(work)
 
 
+def test_a_request_that_crosses_a_close_of_a_stop_is_refused_on_a_new_connection() -> None:
+    """Guards against a listener that closes before the connections: what crosses a close finds nobody."""
+
+    async def work() -> None:
+        async with Rig() as rig:
+            reader, writer = await rig.connect()
+            writer.write(rig.ask())
+            assert kind((await rig.answers(reader))[0]) == "served"
+            stopping = asyncio.ensure_future(rig.runtime.stop())
+            assert await reader.read() == b"", "closed while it was idle"
+            again, writer = await rig.connect()
+            writer.write(rig.ask())
+            assert kind((await rig.answers(again))[0]) == "refused"
+            assert await again.read() == b"" and not stopping.done()
+            await stopping
+            assert not rig.runtime.front.clients
+
+    run(work)
+
+
 def test_the_descriptor_limit_fails_connects_and_loses_no_request() -> None:
     async def work() -> None:
         async with Rig(servers=2) as rig:
