Soak: clients that wait between requests, and appliances that hang through the last end

The soak had no client that waits between an answer and its next request, and hung single appliances for drawn times.

--- a/otterquay/lab/soak/clients.py
+++ b/otterquay/lab/soak/clients.py
@@ -21,6 +21,7 @@
 OPENS_AFTER_TERM_S = 0.4  # new connections come for so long after SIGTERM
 MAX_OUTSTANDING = 8  # of a client that pipelines
 THINK_S = (0.005, 0.06)
+WAIT_S = (0.04, 0.32)  # of a client that waits between an answer and its next request
 RETRY_CONNECT_S = 0.02
 LEAVES_AFTER_S = (0.0, 0.03)
 MALFORMED = (
@@ -222,6 +223,7 @@
         self._agents = agents
         work = {
             "steady": self._steady,
+            "waiting": self._waiting,
             "leaver": self._leaver,
             "stops_midway": self._stops_midway,
             "does_not_read": self._does_not_read,
@@ -281,9 +283,19 @@
                     connection.ask(self.requests(connection.run, number))
                 await self._think(connection)
 
-    async def _think(self, connection: ClientConnection) -> None:
+    async def _waiting(self, agent: AgentProcess) -> None:
+        """Use a connection for one request at a time, with a wait after each answer, until it ends."""
+        while True:
+            connection = await self._connections(agent)
+            while not connection.closed.is_set():
+                connection.ask(self.requests(connection.run, 1))
+                while connection.outstanding:
+                    await self._think(connection)
+                await self._think(connection, WAIT_S)
+
+    async def _think(self, connection: ClientConnection, between_s: tuple[float, float] = THINK_S) -> None:
         try:
-            async with asyncio.timeout(self._rng.uniform(*THINK_S)):
+            async with asyncio.timeout(self._rng.uniform(*between_s)):
                 await connection.closed.wait()
         except TimeoutError:
             return
--- a/otterquay/lab/soak/day.py
+++ b/otterquay/lab/soak/day.py
@@ -210,6 +210,8 @@
         if self.script.rests:
             await self._rest()
         self.clients.stop_opening()
+        for number in self.script.hang_at_end:
+            self.appliances[number].mode = "hang"
         await asyncio.gather(*(self._end(agent, self.script.end_series) for agent in self.agents))
 
     async def _rest(self) -> None:
--- a/otterquay/lab/soak/script.py
+++ b/otterquay/lab/soak/script.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -13,12 +14,16 @@
 Signal = Literal["TERM", "HUP", "STOP", "CONT"]
 ConfigKind = Literal["same", "moved", "half", "empty", "foreign", "missing"]
 Mode = Literal["good", "hang", "close", "reset", "late", "twice", "spoilt", "busy", "error", "mixed"]
-ClientKind = Literal["steady", "leaver", "stops_midway", "does_not_read", "breaks_protocol"]
+ClientKind = Literal["steady", "waiting", "leaver", "stops_midway", "does_not_read", "breaks_protocol"]
 
 QUIET_START_S = 0.4  # before the first event
 EVENTS_S = 2.0  # in which events begin
 QUIET_END_S = 0.6  # after the last one, before the planned end of all
 RESTING_KEEPALIVE_MS = 300.0  # longest keep-alive time of a day at whose end the agents rest
+WAITING_CLIENTS = (0, 4, 20)  # of each agent; 4 at most on days with a crowd
+HANG_AT_END_CHANCE = 0.5
+HANG_AT_END_SHARE = 0.65  # of the appliances, on such a day
+PLANNED_END_DRAWS = 0x0E4D  # keeps what else a seed draws as it is
 MAX_HELD_UP_S = 0.1  # a STOP around SIGTERM; the protocol page allows for 0.15 s
 CROWDS = ((30, 16), (60, 3), (100, 1))  # clients, and requests of each
 TERM_SERIES: tuple[tuple[Signal, ...], ...] = (
@@ -163,6 +168,7 @@
     ends_at: float
     rests: bool  # whether clients leave before the end, so that what the agents still hold can be counted
     end_series: tuple[Step, ...]
+    hang_at_end: tuple[int, ...]  # appliances that hang through the planned end of all
 
     def lines(self) -> list[str]:
         """The script in words, one line an event."""
@@ -174,7 +180,8 @@
             f"classes: {classes}; {self.customer.sockets} descriptors, limits {limits}",
         ]
         rest = "clients leave, agents rest, " if self.rests else ""
-        end = f"{self.ends_at:.3f} s: {rest}all agents end, {_series_words(self.end_series)}"
+        hang = f"appliances {list(self.hang_at_end)} hang, " if self.hang_at_end else ""
+        end = f"{self.ends_at:.3f} s: {rest}{hang}all agents end, {_series_words(self.end_series)}"
         return [*head, *(f"{event.at:.3f} s: {_event_words(event)}" for event in self.events), end]
 
 
@@ -204,15 +211,34 @@
     clients: list[ClientKind] = ["steady"] * rng.randint(2, 4)
     others: tuple[ClientKind, ...] = ("leaver", "stops_midway", "does_not_read", "breaks_protocol")
     clients += [kind for kind in others if rng.random() < 0.35]
+    end_rng = random.Random(seed ^ PLANNED_END_DRAWS)
+    clients += ["waiting"] * end_rng.choice(WAITING_CLIENTS[: 2 if crowd else None])
     draw = _EventDrawer(rng, agents, appliances, relayed)
     events = draw.events(crowd)
     ends_at = QUIET_START_S + EVENTS_S + QUIET_END_S
     rests = customer.settings["limits"]["keepaliveMs"] <= RESTING_KEEPALIVE_MS and rng.random() < 0.7
     return Script(
-        seed, customer, agents, appliances, relayed, tuple(clients), events, ends_at, rests, draw.term_series()
+        seed,
+        customer,
+        agents,
+        appliances,
+        relayed,
+        tuple(clients),
+        events,
+        ends_at,
+        rests,
+        draw.term_series(),
+        _draw_hanging(end_rng, appliances),
     )
 
 
+def _draw_hanging(rng: random.Random, appliances: int) -> tuple[int, ...]:
+    """Draw the appliances that hang through the planned end of all: none, or most of them."""
+    if rng.random() >= HANG_AT_END_CHANCE:
+        return ()
+    return tuple(sorted(rng.sample(range(appliances), math.ceil(appliances * HANG_AT_END_SHARE))))
+
+
 class _EventDrawer:
     """Draws events at any time within the day's middle; those of the processes come in each day."""
 
