--- a/tests/crossings/test_drain_order.py
+++ b/tests/crossings/test_drain_order.py
@@ -274,3 +274,27 @@
             assert clients.answered >= 100 and not clients.crossed
 
     run(work, STEP_CLOCK)
+
+
+def test_the_log_tells_what_the_connections_do_that_are_open_as_the_listener_closes() -> None:
+    """Guards against an end of which the log does not tell who may have found nobody."""
+
+    async def work() -> None:
+        async with rig_with(1.0, 10) as rig:
+            for appliance in rig.appliances:
+                appliance.behave = never_answer
+            log = rig.node.front.log = LogOfFront()
+            clients = [Client(Clients(rig, random.Random(1), 1.0), "") for _ in range(4)]
+            for client in clients:
+                await client.connect()
+            await clients[0].ask(PING)
+            clients[1].writer.write(rig.encode_request())
+            clients[2].writer.write(PING[:5])
+            await rig.until(
+                lambda: rig.node.open_requests and any(c.parser.started for c in rig.node.front.clients)
+            )
+            rig.node.front.close()
+            seen = {"open": 4, "unread": 0, "served": 1, "request_open": 1, "command_begun": 1, "none": 1}
+            assert log.warnings == [f"closed_with_clients_open {seen}"]
+
+    run(work, STEP_CLOCK)
