Drain: the listener stands for 0.4 s after SIGTERM, also for a process that was stopped

And the wait for what crossed ended early where nothing had been open for 0.3 s, also right after the last answers were due.

SIGTERM came before the process ran again, so 0.4 s from then cover it.

--- a/otterquay/node/agent.py
+++ b/otterquay/node/agent.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import fields
@@ -118,6 +119,7 @@
         waited_s = 0.0 if self._end_requested_at is None else now - self._end_requested_at
         schedule = ShutdownSchedule.of(self.settings, waited_s)
         self.settle_s = schedule.listener_outlasts_s
+        self.crossing_s = math.inf  # the listener stays for the whole of its time
         self.drain_until = now + schedule.answers_within_s
         self.log.info("agent_leaving", held=len(self.open_requests), within_s=schedule.answers_within_s)
         await asyncio.sleep(schedule.drain_after_s)
--- a/otterquay/node/shutdown_schedule.py
+++ b/otterquay/node/shutdown_schedule.py
@@ -44,12 +44,14 @@
 
     @staticmethod
     def of(settings: it.Settings, waited_s: float) -> ShutdownSchedule:
-        """The schedule of a shutdown whose SIGTERM came `waited_s` ago, while the process could not run."""
+        """The schedule of a shutdown whose SIGTERM came up to `waited_s` ago, while the process could not run."""
         answers_within_s = max(shutdown_time_s(settings) - waited_s, LINGER_S)
         kill_within_s = longest_deadline_s(settings) + KILL_EXTRA_S - waited_s
         left_s = kill_within_s - END_RESERVE_S - answers_within_s
+        # SIGTERM may also have come just now, with new connections to follow it
+        least_s = max(MIN_FLUSH_S, NEW_CONNECTIONS_S - answers_within_s)
         return ShutdownSchedule(
             drain_after_s=min(max(NEW_CONNECTIONS_S - waited_s, 0.0), answers_within_s),
             answers_within_s=answers_within_s,
-            listener_outlasts_s=min(max(left_s, MIN_FLUSH_S), FLUSH_S),
+            listener_outlasts_s=min(max(left_s, least_s), FLUSH_S),
         )
--- a/tests/crossings/test_drain.py
+++ b/tests/crossings/test_drain.py
@@ -197,6 +197,29 @@
     run(work, STEP_CLOCK)
 
 
+@pytest.mark.parametrize("deadline_ms", [50.0, 400.0, 3000.0])
+@pytest.mark.parametrize("stopped_s", [0.0, 0.15, 0.4, 0.8, 5.0])
+def test_new_connections_find_a_listener_though_the_process_was_stopped_before_sigterm(
+    stopped_s: float, deadline_ms: float
+) -> None:
+    """Guards against a shutdown that counts a stop before SIGTERM as time in which new connections came."""
+
+    async def work() -> None:
+        classes = [{**CLASSES[0], "deadlineMs": deadline_ms, "onTimeMs": deadline_ms / 2}]
+        async with Rig(count=1, requestClasses=classes) as rig:
+            loop = asyncio.get_running_loop()
+            assert isinstance(loop, StepClockLoop)
+            loop.advance(stopped_s)  # SIGTERM comes as the stop ends
+            sigterm_at = loop.time()
+            rig.node.note_end_signal()
+            leaving = asyncio.ensure_future(rig.node.shut_down())
+            await asyncio.sleep(sigterm_at + NEW_CONNECTIONS_S - 0.01 - loop.time())
+            assert await rig.exchange(rig.encode_request(d=deadline_ms))
+            await leaving
+
+    run(work, STEP_CLOCK)
+
+
 def test_what_is_taken_after_sigterm_tells_the_time_that_is_left() -> None:
     async def work() -> None:
         async with Rig(count=1) as rig:
