Pool: the rest of a request that the kernel holds never comes after its attempt

Callers may see an effect twice, or one after the answer: an attempt that was given up at its deadline, called off, or ended by a spoilt answer becomes whole at an appliance that stood still, and runs there. "Once its last byte has come, an attempt counts".

Cause: `Pool._close` reset a connection only while the transport held bytes. What the kernel had taken counted as sent; the connection was closed in order, and the kernel sends the rest in the background.

Change: closed in order only if the peer's host has acknowledged all (SIOCOUTQ is 0); else reset at once, by dissolving the socket with a connect to AF_UNSPEC, which discards the kernel's queue. Where the system refuses these calls, SO_LINGER of 0 s discards it as the transport closes. What the module is told is as before: bytes that the kernel had taken prove nothing, only bytes that the transport held do.

--- a/otterquay/agent/connection_pool.py
+++ b/otterquay/agent/connection_pool.py
@@ -14,7 +14,7 @@
 from otterquay.agent.exchange import Call, Connection, ConnectionUse, PayloadBuilder
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import ApplianceProtocol
-from otterquay.agent.sockets import end_sending, has_unread_data
+from otterquay.agent.sockets import end_sending, has_unread_data, is_delivered, reset
 from otterquay.agent.stream_reader import open_connection
 from otterquay.logs import Logger
 from otterquay.ordered_set import OrderedSet
@@ -249,12 +249,12 @@
         free = self.idle.get(connection.address)
         if free and connection in free:
             free.remove(connection)
-        unsent = self._unsent(connection)
-        end_sending(connection.writer.transport)  # before the next attempt of the same request can be written
-        if unsent:
-            connection.writer.transport.abort()  # an orderly close would still write the rest
-        else:
+        # The end reaches the kernel before the next attempt of the same request can be written.
+        if is_delivered(connection.writer.transport):
+            end_sending(connection.writer.transport)
             connection.writer.close()
+        else:
+            reset(connection.writer.transport)  # an orderly close would still send the rest
         if connection.task and connection.task is not asyncio.current_task():
             connection.task.cancel()
 
--- a/otterquay/agent/sockets.py
+++ b/otterquay/agent/sockets.py
@@ -1,4 +1,4 @@
-"""Acts on a socket or pipe at once, past the event loop: asks for its state, or ends its sending.
+"""Acts on a socket or pipe at once, past the event loop: asks for its state, ends its sending or resets it.
 
 The event loop reports bytes and closes once per iteration. A decision between two polls, or in the first iteration
 after the process was stalled, would rest on an outdated state; these functions use the descriptor itself.
@@ -8,9 +8,18 @@
 
 import asyncio
 import contextlib
+import ctypes
+import fcntl
 import select
+import struct
+import sys
+import termios
 
 _SHUT_WR = 1  # of shutdown(2)
+_SOL_SOCKET, _SO_LINGER = 1, 13  # of setsockopt(2)
+_DISCARD_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
+_UNSPECIFIED_ADDRESS = bytes(16)  # struct sockaddr of AF_UNSPEC, which dissolves a connection (connect(2))
+_LIBC = ctypes.CDLL(None)
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
 
 
@@ -55,6 +64,44 @@
             duplicate.close()
 
 
+def unacknowledged_bytes(transport: asyncio.BaseTransport) -> int:
+    """Bytes that the kernel holds for sending and that the peer's host has not acknowledged (`SIOCOUTQ`).
+
+    The largest number where the kernel does not tell.
+    """
+    transport_socket = transport.get_extra_info("socket")
+    if transport_socket is None or (fd := transport_socket.fileno()) < 0:  # simulated network, or closed already
+        return 0
+    try:
+        queued = fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return sys.maxsize
+    return int.from_bytes(queued, sys.byteorder)
+
+
+def is_delivered(transport: asyncio.WriteTransport) -> bool:
+    """Whether the peer's host has acknowledged all that was written; false where that is not known."""
+    return transport.get_write_buffer_size() == 0 and unacknowledged_bytes(transport) == 0
+
+
+def reset(transport: asyncio.WriteTransport) -> None:
+    """Reset a TCP connection at once; bytes that the transport or the kernel still holds are never sent.
+
+    An orderly close sends the rest in the background, however long the peer takes to receive it.
+    """
+    transport_socket = transport.get_extra_info("socket")
+    if transport_socket is not None and not _dissolve(transport_socket.fileno()):
+        with contextlib.suppress(OSError):  # the next best: the rest is discarded as the transport closes
+            transport_socket.setsockopt(_SOL_SOCKET, _SO_LINGER, _DISCARD_ON_CLOSE)
+        end_sending(transport)
+    transport.abort()
+
+
+def _dissolve(fd: int) -> bool:
+    """End the connection of a TCP socket with a reset; false where it is closed or the system refuses this."""
+    return fd >= 0 and _LIBC.connect(fd, _UNSPECIFIED_ADDRESS, len(_UNSPECIFIED_ADDRESS)) == 0
+
+
 def is_writable(fd: int) -> bool:
     """Whether a write of up to one page (4 KiB) to a pipe, file or terminal would not block."""
     return _poll(fd, select.POLLOUT) & select.POLLOUT != 0
--- a/tests/crossings/forcing.py
+++ b/tests/crossings/forcing.py
@@ -139,10 +139,15 @@
 
 
 class BlockingAppliance:
-    """An appliance on blocking sockets, for steps that must not run the agent's event loop."""
+    """An appliance on blocking sockets, for steps that must not run the agent's event loop.
 
-    def __init__(self) -> None:
+    `receive_buffer` bounds what its host takes before it reads, in bytes; 0 for the kernel's own bound.
+    """
+
+    def __init__(self, receive_buffer: int = 0) -> None:
         self.listener = socket.create_server(("127.0.0.1", 0))
+        if receive_buffer:
+            self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
         self.address = "{}:{}".format(*self.listener.getsockname())
 
     async def accept(self) -> socket.socket:
