Repeats of keyed requests reach their server within the window or never

Cause: the window was a condition on the decision; nothing held it to the last byte. The connect, the transport and the kernel may each hold the command, and the attempt ended only at the client's deadline of 4 s.

Change: `Send` names a time by which the request is delivered: for repeats of a keyed class the window of the first attempt that may have run, else never. The pool calls off what the appliance's host has not acknowledged by then, while it connects, at the first byte and at the last one, and resets the connection. Bytes that left the process may have run, and are told so. This works as it is held where the limit takes effect, whatever delayed the bytes.

The rule checker wants the new time of every repeat.

--- a/otterquay/agent/attempts.py
+++ b/otterquay/agent/attempts.py
@@ -45,19 +45,22 @@
     def _allowed_share(self, build: int) -> float:
         return share_allowed(build, self.newest, self.settings.rollout.stage_cap[0]) if self.newest else 1.0
 
-    def _send(self, request: int, server: int, until_ms: float) -> None:
+    def _send(self, send: it.Send) -> None:
+        request, server = send.request, send.server
         open_request = self.open_requests.get(request)
         if open_request is None:
             return self.post(it.Outcome(request, server, 0, it.Status.MOOT, 0.0, True, ()))
         attempt, open_request.attempts = open_request.attempts, open_request.attempts + 1
         entry, now = self.ports.list.entries.get(server), self._now()
-        until = min(until_ms / 1e3, open_request.deadline_s) if until_ms > 0 else open_request.deadline_s
+        until = min(send.until_ms / 1e3, open_request.deadline_s) if send.until_ms > 0 else open_request.deadline_s
+        deliver_by = send.deliver_by_ms / 1e3
         client = open_request.client
         if client and (self.phase is Phase.CLOSED or client.has_left()):  # disconnected, but not yet read
             self.log.debug("client_left_unread", request=request)
             client = None
         over = client is None
-        if client is None or entry is None or until <= now or attempt >= self.settings.limits.max_attempts:
+        is_late = min(until, deliver_by) <= now
+        if client is None or entry is None or is_late or attempt >= self.settings.limits.max_attempts:
             return self.post(it.Outcome(request, server, attempt, it.Status.MOOT, 0.0, over, ()))
         address, build = entry.address, entry.build
         tag, share_at_decision = self.ports.appliance_protocol.tag(request, attempt), self._allowed_share(build)
@@ -94,7 +97,7 @@
         if self.ports.state_store and self.ports.desk.capped(build):
             self.ports.state_store.tried(build, open_request.request.cls)
         client.attempt(attempt + 1)
-        open_request.calls[attempt] = self.pool.call(address, tag, build_payload, until, done)
+        open_request.calls[attempt] = self.pool.call(address, tag, build_payload, until, done, deliver_by)
         self.log.debug("attempt", request=request, attempt=attempt, server=server, tag=tag)
 
     def _attempt_done(
--- a/otterquay/agent/connection_pool.py
+++ b/otterquay/agent/connection_pool.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -14,7 +15,13 @@
 from otterquay.agent.exchange import Call, Connection, ConnectionUse, PayloadBuilder
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import ApplianceProtocol
-from otterquay.agent.sockets import end_sending, has_unread_data, is_delivered, reset
+from otterquay.agent.sockets import (
+    end_sending,
+    has_unread_data,
+    is_delivered,
+    reset,
+    unacknowledged_bytes,
+)
 from otterquay.agent.stream_reader import open_connection
 from otterquay.logs import Logger
 from otterquay.ordered_set import OrderedSet
@@ -23,6 +30,7 @@
 READ_SIZE = 65536
 REUSE_IDLE_FACTOR = 4  # times the delay at which an unsolicited second answer was seen
 MAX_REUSE_IDLE_S = 0.05
+MAX_TIMER_EARLY_S = 0.001  # by which a timer of the event loop may fire early, as its clock is rounded
 
 
 @dataclass(slots=True)
@@ -48,14 +56,18 @@
         build_payload: PayloadBuilder,
         until: float,
         done: Callable[[Call, End, Any | None], None],
+        deliver_by: float = math.inf,
     ) -> Call:
-        """Start an exchange that times out at `until`.
+        """Start an exchange that times out at `until`, and is called off if it is not delivered by `deliver_by`.
 
-        `done` never runs before this returns. `build_payload` runs at most once, right before the write.
+        It is delivered once the appliance's host has acknowledged its last byte. `done` never runs before this
+        returns. `build_payload` runs at most once, right before the write.
         """
         loop = asyncio.get_running_loop()
         call = Call(address, tag, build_payload, done, loop.time())
         call.timer = loop.call_at(until, self._overdue, call)
+        if deliver_by < until:
+            self._limit_delivery(call, deliver_by)
         idle_before = loop.time() - self.min_reuse_idle_s
         for connection in reversed(free := self.idle.get(address, [])):
             if connection.idle_since > idle_before:
@@ -135,6 +147,27 @@
         """Whether part of a request that runs only once complete is still in the write buffer."""
         return self.appliance_protocol.runs_when_whole and connection.writer.transport.get_write_buffer_size() > 0
 
+    def _limit_delivery(self, call: Call, deliver_by: float) -> None:
+        """Call off a call that is not delivered by this time."""
+        call.deliver_by = deliver_by
+        loop = asyncio.get_running_loop()
+        call.delivery_timer = loop.call_at(deliver_by + MAX_TIMER_EARLY_S, self._check_delivery, call)
+
+    def _check_delivery(self, call: Call) -> None:
+        """Call off a call that is connecting, or whose request the transport or the kernel holds in part."""
+        transport = call.connection.writer.transport if call.connection else None
+        if transport and is_delivered(transport):
+            return
+        self.log.info(
+            "request_not_delivered",
+            address=call.address,
+            written=transport is not None,
+            buffered=transport.get_write_buffer_size() if transport else 0,
+            unacknowledged=unacknowledged_bytes(transport) if transport else 0,
+            after_s=asyncio.get_running_loop().time() - call.started,
+        )
+        self.cancel(call)
+
     def _overdue(self, call: Call) -> None:
         self._end(call, End.OVERDUE if self._sent(call) else End.OVERDUE_CONNECTING)
 
@@ -142,8 +175,9 @@
         if call.ended:
             return
         call.ended = True
-        if call.timer:
-            call.timer.cancel()
+        for timer in (call.timer, call.delivery_timer):
+            if timer:
+                timer.cancel()
         connection, call.connection = call.connection, None
         if connection:
             connection.call = None
@@ -177,7 +211,8 @@
 
     def _write(self, connection: Connection, call: Call) -> None:
         loop = asyncio.get_running_loop()
-        if (payload := call.build_payload()) is None:
+        is_late = loop.time() >= call.deliver_by
+        if is_late or (payload := call.build_payload()) is None:
             self._close(connection)  # the address may belong to another process by now
             loop.call_soon(self._end, call, End.CALLED_OFF_CONNECTING)
             return
--- a/otterquay/agent/exchange.py
+++ b/otterquay/agent/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -34,6 +35,8 @@
     started: float
     connection: Connection | None = None
     timer: asyncio.TimerHandle | None = None
+    deliver_by: float = math.inf
+    delivery_timer: asyncio.TimerHandle | None = None  # set if `deliver_by` comes before the end of the call
     task: asyncio.Task[None] | None = None  # the pending connect
     use: ConnectionUse = ConnectionUse.REUSABLE  # of the connection that is being established for it
     ended: bool = False
--- a/otterquay/agent/outcomes.py
+++ b/otterquay/agent/outcomes.py
@@ -28,7 +28,7 @@
     OVERDUE = "no answer within the time limit"
     OVERDUE_CONNECTING = "no connection within the time limit"
     CALLED_OFF = "cancelled after the request was written"
-    CALLED_OFF_CONNECTING = "cancelled while connecting"
+    CALLED_OFF_CONNECTING = "cancelled while connecting, or before all of the request had left the process"
     NOT_STARTED = "already ended, unknown or past its time limit before anything was sent"
 
 
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -99,8 +99,8 @@
 
     def _execute(self, action: it.Action) -> None:
         match action:
-            case it.Send(request, server, until_ms):
-                self._send(request, server, until_ms)
+            case it.Send():
+                self._send(action)
             case it.SetTimer(delay, token):
                 self._set_timer(delay, token)
             case it.Refuse(request, retry_after_ms):
--- a/otterquay/interface.py
+++ b/otterquay/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -414,11 +415,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Send:
-    """Start an attempt; it times out at `until_ms`, a time on the agent's clock."""
+    """Start an attempt; it times out at `until_ms`. Both times are on the agent's clock.
+
+    The whole request has to reach the server by `deliver_by_ms`: it is taken back if it has not.
+    """
 
     request: int
     server: int
     until_ms: float
+    deliver_by_ms: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterquay/policy/requests.py
+++ b/otterquay/policy/requests.py
@@ -46,7 +46,7 @@
         """Start an attempt, or give up where no server may be used."""
         if not (server := self._choose(pending) if self.now < pending.useful_until else None):
             return self._give_up(pending)
-        attempt_key = pending.id, len(pending.attempts)
+        attempt_key, deliver_by = (pending.id, len(pending.attempts)), self._deliver_by(pending)
         self.in_flight[attempt_key], server.open_attempts[attempt_key], pending.send_weight = (
             Attempt(server, pending.cls, self.now),
             self.now,
@@ -60,7 +60,7 @@
             self.attempt_times.setdefault((server.entry.build, pending.cls), []),
         ):
             times.append(self.now)
-        self.actions.append(it.Send(pending.id, server.id, pending.useful_until))
+        self.actions.append(it.Send(pending.id, server.id, pending.useful_until, deliver_by))
 
     def _outcome(self, event: it.Outcome) -> None:
         if not (attempt := self.in_flight.pop((event.request, event.attempt), None)):
--- a/otterquay/policy/rules.py
+++ b/otterquay/policy/rules.py
@@ -69,6 +69,18 @@
         start, warm_up = self.settings.rules.start_capacity, max(self.settings.rules.cold_ms, 1.0)
         return start + (1.0 - start) * min(1.0, max(0.0, self._age(server) - self.settings.rules.fall_ms) / warm_up)
 
+    def _deliver_by(self, pending: PendingRequest) -> float:
+        """Return the time until which rule 2 lets a further attempt reach its server; infinite where it sets none.
+
+        Servers drop repeats of a key for the repeat window. It counts from the send of the first attempt that may
+        have run, also for the third attempt and later ones.
+        """
+        cls = self.settings.classes[pending.cls]
+        may_have_run = [a.sent_at for a in pending.attempts if not a.never_ran]
+        if cls.effect is not it.Effect.KEYED or not may_have_run:
+            return math.inf
+        return may_have_run[0] + cls.repeat_window_ms
+
     def may_send(self, pending: PendingRequest, server: Server) -> bool:
         """Check all five rules; first sends, retries and second copies all pass here."""
         limits, cls, entry = self.settings.limits, self.settings.classes[pending.cls], server.entry
@@ -96,9 +108,7 @@
             out_of_scope = (cls.scope is it.Scope.ZONE and entry.zone != first.zone) or (
                 cls.scope is it.Scope.CELL and entry.cell != first.cell
             )
-            if cls.effect is it.Effect.KEYED and (
-                out_of_scope or self.now - may_have_run[0].sent_at >= cls.repeat_window_ms
-            ):
+            if cls.effect is it.Effect.KEYED and (out_of_scope or self.now >= self._deliver_by(pending)):
                 return False
         return not self._cap_reached(pending, entry.build) and (
             not self._cold(server) or self._within_cold_budget(server)
--- a/tests/crossings/forcing.py
+++ b/tests/crossings/forcing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 import selectors
 import socket
@@ -168,9 +169,17 @@
         self.pool = Pool(5.0, 60.0, RespCodec([]), silent())
         self.ends: list[End] = []
 
-    def call(self, address: str, payload: bytes = b"*1\r\n$1\r\nx\r\n") -> Call:
-        until = asyncio.get_running_loop().time() + 60
-        return self.pool.call(address, b"1-0", lambda: payload, until, lambda call, end, got: self.ends.append(end))
+    def call(self, address: str, payload: bytes = b"*1\r\n$1\r\nx\r\n", limit_s: float = math.inf) -> Call:
+        """Make a call; it is called off if it is not delivered within `limit_s`."""
+        now = asyncio.get_running_loop().time()
+        return self.pool.call(
+            address,
+            b"1-0",
+            lambda: payload,
+            now + 60,
+            lambda call, end, got: self.ends.append(end),
+            now + limit_s,
+        )
 
     async def answered(self, plain: BlockingAppliance) -> socket.socket:
         """Make a call and answer it; returns the appliance's side of the connection, which is then idle."""
--- a/tests/crossings/test_delivery.py
+++ b/tests/crossings/test_delivery.py
@@ -6,16 +6,29 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 import pytest
 
+from otterquay import interface as it
 from otterquay.agent import sockets
 from otterquay.agent.exchange import Call
 from otterquay.agent.outcomes import End
-from tests.crossings.forcing import LOOPS, BlockingAppliance, PoolCalls, run, until
+from otterquay.standins.resp import served
+from tests.crossings.forcing import (
+    LOOPS,
+    STEP_CLOCK,
+    BlockingAppliance,
+    ConnectGate,
+    PoolCalls,
+    hold_requests,
+    run,
+    until,
+)
+from tests.noderig import CLASSES, SETTINGS, Rig, answer
 
 RECEIVE_BUFFER = 2048
 TURNS_OF_A_CLOSE = 5  # of the event loop, in which a transport closes its socket
@@ -40,11 +53,11 @@
 
 @asynccontextmanager
 async def half_written(
-    payload: bytes,
+    payload: bytes, limit_s: float = math.inf
 ) -> AsyncIterator[tuple[PoolCalls, Call, socket.socket]]:
     """A call whose request was written to an appliance that stands still: the pool, the call, its connection."""
     calls, still = PoolCalls(), BlockingAppliance(RECEIVE_BUFFER)
-    call = calls.call(still.address, payload)
+    call = calls.call(still.address, payload, limit_s)
     conn = await still.accept()
     await until(lambda: call.connection)
     transport = call.connection.writer.transport  # type: ignore[union-attr]
@@ -131,3 +144,136 @@
             assert await read_all(conn) < len(IN_KERNEL) and calls.ends == [End.CALLED_OFF]
 
     run(work, loop)
+
+
+LIMIT_S = 0.3
+WINDOW_MS = 1000.0
+GOES_ON_AFTER_S = 0.05  # after the end of the window
+BODY = b"x" * 60_000
+
+
+@pytest.mark.parametrize(
+    ("payload", "end"), [(IN_KERNEL, End.CALLED_OFF), (IN_TRANSPORT, End.CALLED_OFF_CONNECTING)]
+)
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_request_that_is_not_delivered_by_its_limit_never_comes(payload: bytes, end: End, loop: str) -> None:
+    """Guards against a command that was written in time and is whole at its appliance only later."""
+
+    async def work() -> None:
+        async with half_written(payload, LIMIT_S) as (calls, call, conn):
+            await until(lambda: calls.ends)
+            assert asyncio.get_running_loop().time() >= call.deliver_by
+            assert await read_all(conn) < len(payload) and calls.ends == [end]
+
+    run(work, loop)
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+def test_a_request_delivered_by_its_limit_is_answered_after_it(loop: str) -> None:
+    """Guards against a limit on the answer where the limit is on the request."""
+
+    async def work() -> None:
+        calls, plain = PoolCalls(), BlockingAppliance()
+        call = calls.call(plain.address, limit_s=LIMIT_S)
+        conn = await plain.accept()
+        await asyncio.get_running_loop().sock_recv(conn, 100)
+        await until(lambda: asyncio.get_running_loop().time() > call.deliver_by + 0.01)
+        assert not calls.ends
+        conn.sendall(served(b"late"))
+        await until(lambda: calls.ends)
+        assert calls.ends == [End.ANSWER] and call.delivery_timer
+        calls.pool.close()
+        for one in (plain, conn):
+            one.close()
+
+    run(work, loop)
+
+
+def keyed_rig(count: int) -> Rig:
+    """An agent whose keyed class has a window shorter than its deadline; only `s-0` is in service at first."""
+    keyed = {**CLASSES[1], "deadlineMs": 6000.0, "onTimeMs": 5000.0, "repeatWindowMs": WINDOW_MS}
+    limits = {**SETTINGS["limits"], "connectTimeoutMs": 30000.0}
+    return Rig(count=count, requestClasses=[CLASSES[0], keyed, CLASSES[2]], limits=limits)
+
+
+def listed_entries(rig: Rig, first: int) -> int:
+    """How many entries of servers the agent was told of, from this update of its list on."""
+    return sum(len(update.entries) for update in rig.seen(it.ServerList)[first:])
+
+
+async def fail_first_attempt(rig: Rig, second: str) -> tuple[asyncio.StreamReader, float]:
+    """Ask a keyed request whose first attempt fails; a repeat can only go to `s-1`, at the address `second`.
+
+    Returns the client's reader, and the time at which the first attempt was at its appliance.
+    """
+    held = hold_requests(rig)
+    lists = len(rig.seen(it.ServerList))
+    rig.discovery.set("s-1", lifecycle="terminating", hostPort=second, version_no=1)
+    await rig.until(lambda: listed_entries(rig, lists) == 1)
+    reader, writer = await rig.connect()
+    writer.write(rig.encode_request(cls="queue-join", id="one", d=6000, body=BODY))
+    await rig.until(lambda: held)
+    arrived_at = asyncio.get_running_loop().time()
+    rig.discovery.set("s-0", lifecycle="terminating")
+    rig.discovery.set("s-1", lifecycle="in_service")
+    await rig.until(lambda: listed_entries(rig, lists) == 3)
+    held[0][0].write(b"-ERR failed\r\n")
+    return reader, arrived_at
+
+
+def test_a_keyed_repeat_never_reaches_a_server_that_stands_still_through_the_end_of_its_window() -> None:
+    """Guards against a second run (review/1): decided and written within its window, whole later."""
+
+    async def work() -> None:
+        still = BlockingAppliance(RECEIVE_BUFFER)
+        async with keyed_rig(count=1) as rig:
+            reader, arrived_at = await fail_first_attempt(rig, still.address)
+            conn = await still.accept()
+            goes_on_at = arrived_at + WINDOW_MS / 1e3 + GOES_ON_AFTER_S
+            await rig.until(lambda: asyncio.get_running_loop().time() > goes_on_at)
+            assert await read_all(conn) < len(BODY), "it is never whole"
+            assert (await answer(reader)).startswith(b"-ERR"), "failed, as the first attempt may have run"
+        assert [outcome.status for outcome in rig.seen(it.Outcome)] == [it.Status.ERROR, it.Status.CANCELLED]
+        for one in (still, conn):
+            one.close()
+
+    run(work, STEP_CLOCK)
+
+
+def test_a_keyed_repeat_whose_connection_comes_up_after_its_window_is_not_sent() -> None:
+    """Guards against a second run by up to the connect timeout after the end of the window."""
+
+    async def work() -> None:
+        async with keyed_rig(count=2) as rig:
+            rig.appliances[0].address, second = (
+                "",
+                rig.appliances[1].address,
+            )  # the gate holds back the second alone
+            with ConnectGate(rig) as gate:
+                reader, arrived_at = await fail_first_attempt(rig, second)
+                await rig.until(lambda: gate.waiting)
+                comes_up_at = arrived_at + WINDOW_MS / 1e3 + GOES_ON_AFTER_S
+                await rig.until(lambda: asyncio.get_running_loop().time() > comes_up_at)
+                gate.open.set()
+                assert (await answer(reader)).startswith(b"-ERR")
+            assert not rig.appliances[1].got
+            assert [outcome.status for outcome in rig.seen(it.Outcome)] == [it.Status.ERROR, it.Status.MOOT]
+
+    run(work, STEP_CLOCK)
+
+
+def test_a_connection_that_comes_up_late_as_the_loop_was_held_up_carries_no_request() -> None:
+    """Guards against a connect that the loop sees before the timer of the limit, as both are due at once."""
+
+    async def work() -> None:
+        calls, plain = PoolCalls(), BlockingAppliance()
+        call = calls.call(plain.address, limit_s=LIMIT_S)
+        call.deliver_by = asyncio.get_running_loop().time()
+        await until(lambda: calls.ends)
+        assert calls.ends == [End.CALLED_OFF_CONNECTING]
+        conn = await plain.accept()
+        assert await read_all(conn) == 0
+        for one in (plain, conn):
+            one.close()
+
+    run(work)
--- a/tests/noderig.py
+++ b/tests/noderig.py
@@ -121,7 +121,12 @@
 
     # --- clients ---
     def encode_request(
-        self, cls: str = "lobby-read", d: object = 2000, id: str | None = None, **options: str
+        self,
+        cls: str = "lobby-read",
+        d: object = 2000,
+        id: str | None = None,
+        body: bytes = b"the body\r\n\0",
+        **options: str,
     ) -> bytes:
         """The bytes of a request."""
         self._ids += 1
@@ -140,7 +145,7 @@
         ]
         if cls == "lobby-read":
             return resp.encode_command([b"SVC.QUERY", *arguments])
-        return resp.encode_command([b"SVC.SUBMIT", *arguments, b"the body\r\n\0"])
+        return resp.encode_command([b"SVC.SUBMIT", *arguments, body])
 
     async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """Open a client connection to the agent."""
--- a/tests/rule_checker.py
+++ b/tests/rule_checker.py
@@ -102,8 +102,8 @@
     def action(self, now: float, action: it.Action) -> None:
         """Check what the agent does."""
         match action:
-            case it.Send(request, server, until):
-                self._send(now, self.requests[request], server, until)
+            case it.Send(request, server, until, deliver_by):
+                self._send(now, self.requests[request], server, until, deliver_by)
             case it.Refuse(request) | it.Fail(request):
                 record = self.requests[request]
                 record.final_answers += 1
@@ -118,13 +118,15 @@
         if not harmless and any(a.status not in UNRUN for a in record.attempts):
             raise RuleViolation(EFFECTS, "a refusal of a request that may have run")
 
-    def _send(self, now: float, record: RequestRecord, server: int, until: float) -> None:
+    def _send(
+        self, now: float, record: RequestRecord, server: int, until: float, deliver_by: float = math.inf
+    ) -> None:
         config, entry = self.config, self.listed[server]
         if record.final_answers or now >= record.deadline:
             raise RuleViolation(ANSWERED, "a send for a request that is over")
         if len(record.attempts) >= config.limits.max_attempts:
             raise RuleViolation(ANSWERED, "more attempts than are allowed")
-        self._effects(now, record, entry)
+        self._effects(now, record, entry, deliver_by)
         if server in self.not_ready:
             raise RuleViolation(DRAINS, f"a send to server {server}, which is draining or gone")
         self.sends.append((now, server, entry.started_ms))
@@ -132,7 +134,7 @@
         self._exposure(now, record, entry)
         record.attempts.append(AttemptRecord(entry, now, min(until, record.deadline)))
 
-    def _effects(self, now: float, record: RequestRecord, entry: it.ServerEntry) -> None:
+    def _effects(self, now: float, record: RequestRecord, entry: it.ServerEntry, deliver_by: float) -> None:
         cls, may_have_run = self.config.classes[record.cls], [a for a in record.attempts if a.status not in UNRUN]
         if not may_have_run:
             return
@@ -149,6 +151,8 @@
             }
             if outside[cls.scope] or now - may_have_run[0].sent_at > cls.repeat_window_ms:
                 raise RuleViolation(EFFECTS, "a keyed repeat outside its scope or window")
+            if deliver_by > may_have_run[0].sent_at + cls.repeat_window_ms:
+                raise RuleViolation(EFFECTS, "a keyed repeat that may be delivered after its window")
 
     def _cold(self, now: float, entry: it.ServerEntry) -> None:
         rules = self.config.rules
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -171,3 +171,24 @@
     stalled, prompt = driver.agent.servers[1], driver.agent.servers[2]
     stalled.open_attempts, prompt.open_attempts = {(1, 0): driver.now - 3000.0}, {(2, 0): driver.now}
     assert driver.agent._cost(stalled) > 2 * driver.agent._cost(prompt)
+
+
+def test_every_repeat_of_a_keyed_request_has_to_be_delivered_within_the_window_of_its_first_attempt() -> None:
+    """Without it, a repeat decided within the window comes later than servers remember the key, and runs again."""
+    driver = AgentDriver()
+    _, actions = driver.ask(cls=1, key=7, budget=3000.0)
+    (never_ran,) = sends(actions)
+    (first,) = sends(driver.end(never_ran, it.Status.FULL))
+    first_sent_at = driver.now
+    driver.now += 500.0
+    (second,) = sends(driver.end(first, it.Status.ERROR))
+    driver.now += 500.0
+    (third,) = sends(driver.end(second, it.Status.CANCELLED))
+    window_end = first_sent_at + driver.agent.settings.classes[1].repeat_window_ms
+    assert [never_ran.deliver_by_ms, first.deliver_by_ms] == [math.inf, math.inf]
+    assert [second.deliver_by_ms, third.deliver_by_ms] == [window_end, window_end]
+    driver.now = window_end
+    assert not sends(driver.end(third, it.Status.MOOT))
+    _, actions = driver.ask(cls=0)
+    (repeat,) = sends(driver.end(*sends(actions), it.Status.ERROR))
+    assert repeat.deliver_by_ms == math.inf, "a safe request may run at any time"
