Pool: a command that the kernel holds as its client leaves never comes whole

Callers may see: an effect for a client that left before the command was whole. An attempt that begins more than 0.1 s after its client's close is a break.

Cause: `Pool.withhold` took a call back only while the transport held bytes. A command of up to 64 KiB passes to the kernel at once, and what the kernel held counted as sent.

Change: as a client leaves, the time by which its attempts have to be delivered is brought forward to 0.05 s from now, longer than a host delays an acknowledgement (40 ms; 41 and 44 ms in a probe on loopback). What is delivered goes on.

--- a/otterquay/agent/connection_pool.py
+++ b/otterquay/agent/connection_pool.py
@@ -30,6 +30,7 @@
 READ_SIZE = 65536
 REUSE_IDLE_FACTOR = 4  # times the delay at which an unsolicited second answer was seen
 MAX_REUSE_IDLE_S = 0.05
+ACKNOWLEDGEMENT_S = 0.05  # a host may delay an acknowledgement by 40 ms
 MAX_TIMER_EARLY_S = 0.001  # by which a timer of the event loop may fire early, as its clock is rounded
 
 
@@ -100,9 +101,11 @@
         self._end(call, End.CALLED_OFF if self._sent(call) else End.CALLED_OFF_CONNECTING)
 
     def withhold(self, call: Call) -> None:
-        """Cancel a call only if its request has not been sent."""
+        """Cancel a call unless its request is delivered; what the kernel holds has a moment to be acknowledged."""
         if not self._sent(call):
             self._end(call, End.CALLED_OFF_CONNECTING)
+        elif call.connection and not is_delivered(call.connection.writer.transport):
+            self._limit_delivery(call, asyncio.get_running_loop().time() + ACKNOWLEDGEMENT_S)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to one appliance."""
@@ -148,7 +151,11 @@
         return self.appliance_protocol.runs_when_whole and connection.writer.transport.get_write_buffer_size() > 0
 
     def _limit_delivery(self, call: Call, deliver_by: float) -> None:
-        """Call off a call that is not delivered by this time."""
+        """Call off a call that is not delivered by this time, or by the earlier one that it has."""
+        if deliver_by >= call.deliver_by:
+            return
+        if call.delivery_timer:
+            call.delivery_timer.cancel()
         call.deliver_by = deliver_by
         loop = asyncio.get_running_loop()
         call.delivery_timer = loop.call_at(deliver_by + MAX_TIMER_EARLY_S, self._check_delivery, call)
--- a/tests/crossings/test_delivery.py
+++ b/tests/crossings/test_delivery.py
@@ -149,6 +149,7 @@
 LIMIT_S = 0.3
 WINDOW_MS = 1000.0
 GOES_ON_AFTER_S = 0.05  # after the end of the window
+MAX_BEGIN_AFTER_LEAVING_S = 0.1  # an attempt that begins later after its client has gone is a break
 BODY = b"x" * 60_000
 
 
@@ -262,6 +263,69 @@
     run(work, STEP_CLOCK)
 
 
+async def write_to_still_server(
+    rig: Rig, still: BlockingAppliance, cls: str
+) -> tuple[asyncio.StreamWriter, socket.socket]:
+    """Ask a request that goes to `s-1` alone; returns the client's writer, and the server's connection.
+
+    The kernel holds most of the request: the transport does not, and the server takes no more.
+    """
+    lists = len(rig.seen(it.ServerList))
+    rig.discovery.set("s-0", lifecycle="terminating")
+    rig.discovery.set("s-1", lifecycle="in_service", hostPort=still.address, version_no=2, startedAtMs=1.0)
+    await rig.until(lambda: listed_entries(rig, lists) == 2)
+    _, writer = await rig.connect()
+    writer.write(rig.encode_request(cls=cls, id="one", d=6000, body=BODY))
+    conn = await still.accept()
+    await rig.until(lambda: rig.node.open_requests and not rig.node.pool.connecting)
+    (connection,) = rig.node.pool.open
+    await rig.until(lambda: not connection.writer.transport.get_write_buffer_size())
+    return writer, conn
+
+
+async def pass_time(rig: Rig, seconds: float) -> None:
+    until_s = asyncio.get_running_loop().time() + seconds
+    await rig.until(lambda: asyncio.get_running_loop().time() > until_s)
+
+
+def test_a_command_that_the_kernel_holds_as_its_client_leaves_never_comes() -> None:
+    """Guards against an attempt that begins over 0.1 s after its client has closed its connection."""
+
+    async def work() -> None:
+        still = BlockingAppliance(RECEIVE_BUFFER)
+        async with Rig(count=1) as rig:
+            client, conn = await write_to_still_server(rig, still, "race-entry")
+            client.close()
+            await rig.until(lambda: rig.seen(it.Abandoned))
+            await pass_time(rig, MAX_BEGIN_AFTER_LEAVING_S)
+            assert await read_all(conn) < len(BODY)
+            assert [outcome.status for outcome in rig.seen(it.Outcome)] == [it.Status.CANCELLED]
+            assert not rig.node.open_requests
+        for one in (still, conn):
+            one.close()
+
+    run(work, STEP_CLOCK)
+
+
+def test_a_command_that_was_delivered_as_its_client_leaves_is_answered() -> None:
+    """Guards against attempts that are given up with their clients although they run, which teaches nothing."""
+
+    async def work() -> None:
+        async with Rig(count=1) as rig:
+            held = hold_requests(rig)
+            _, writer = await rig.connect()
+            writer.write(rig.encode_request(id="one"))
+            await rig.until(lambda: held)
+            writer.close()
+            await rig.until(lambda: rig.seen(it.Abandoned))
+            await pass_time(rig, MAX_BEGIN_AFTER_LEAVING_S)
+            held[0][0].write(served(b"for one"))
+            await rig.until(lambda: rig.seen(it.Outcome))
+            assert [outcome.status for outcome in rig.seen(it.Outcome)] == [it.Status.OK]
+
+    run(work, STEP_CLOCK)
+
+
 def test_a_connection_that_comes_up_late_as_the_loop_was_held_up_carries_no_request() -> None:
     """Guards against a connect that the loop sees before the timer of the limit, as both are due at once."""
 
