Attempts that are half written as the cap of their build falls are taken back

Callers may see: more attempts at a build on trial than a lowered cap allows, as a server that stood still reads on. "Once its last byte has come, an attempt counts", and a lower cap binds 0.15 s after the news.

Cause: the cap was looked at at the decision, and once more before the first byte where a connect was waited for.

Change: with each news of the stage, attempts at builds that are allowed less than at their decision are withheld, in the way of attempts whose client has left: at once while they connect or the transport holds them, else if they are not acknowledged in 0.05 s. The module has the news first, and decides anew. `OpenAttempt` keeps what this asks for.

The HTTP protocol, of which a part may start a request, has a case of its own: called off, never told as not run.

--- a/otterquay/agent/attempts.py
+++ b/otterquay/agent/attempts.py
@@ -14,7 +14,7 @@
 from otterquay import interface as it
 from otterquay.agent.exchange import Call
 from otterquay.agent.feeds import share_allowed
-from otterquay.agent.lifecycle import Lifecycle, OpenRequest, Phase
+from otterquay.agent.lifecycle import Lifecycle, OpenAttempt, OpenRequest, Phase
 from otterquay.agent.outcomes import END_MEANINGS, End
 from otterquay.protocol import news
 
@@ -67,8 +67,8 @@
 
         def build_payload() -> bytes | None:
             """Return the request with its remaining time; None if the decision no longer holds."""
-            # the call is registered only if it had to wait for a connection; otherwise nothing has changed yet
-            waited = attempt in open_request.calls
+            # the attempt is registered only if it had to wait for a connection; otherwise nothing has changed yet
+            waited = attempt in open_request.open_attempts
             if waited and (
                 client.has_left()
                 or self._allowed_share(build) < share_at_decision
@@ -97,9 +97,17 @@
         if self.ports.state_store and self.ports.desk.capped(build):
             self.ports.state_store.tried(build, open_request.request.cls)
         client.attempt(attempt + 1)
-        open_request.calls[attempt] = self.pool.call(address, tag, build_payload, until, done, deliver_by)
+        call = self.pool.call(address, tag, build_payload, until, done, deliver_by)
+        open_request.open_attempts[attempt] = OpenAttempt(call, build, share_at_decision)
         self.log.debug("attempt", request=request, attempt=attempt, server=server, tag=tag)
 
+    def _withhold_above_lower_caps(self) -> None:
+        """Withhold the attempts at builds that are allowed less than when the attempts were decided."""
+        for open_request in list(self.open_requests.values()):
+            for attempt in list(open_request.open_attempts.values()):
+                if self._allowed_share(attempt.build) < attempt.allowed_share:
+                    self.pool.withhold(attempt.call)
+
     def _attempt_done(
         self,
         open_request: OpenRequest,
@@ -110,7 +118,7 @@
         end: End,
         answer: Any | None,
     ) -> None:
-        open_request.calls.pop(attempt, None)
+        open_request.open_attempts.pop(attempt, None)
         open_request.last = end
         meaning = END_MEANINGS[end]
         if meaning.status is not it.Status.OK:
--- a/otterquay/agent/lifecycle.py
+++ b/otterquay/agent/lifecycle.py
@@ -31,6 +31,15 @@
     CLOSED = 3  # no request is open or accepted, and no attempt is sent
 
 
+@dataclass(frozen=True, slots=True)
+class OpenAttempt:
+    """An attempt without an end: its exchange, its server's build, and the share of that build at the decision."""
+
+    call: Call
+    build: int
+    allowed_share: float
+
+
 @dataclass(slots=True)
 class OpenRequest:
     """An accepted request; `client` is None once it has been answered or its client has disconnected."""
@@ -40,7 +49,7 @@
     client: Requester | None
     deadline_s: float
     attempts: int = 0
-    calls: dict[int, Call] = field(default_factory=dict)
+    open_attempts: dict[int, OpenAttempt] = field(default_factory=dict)
     last: End = End.NOT_STARTED
 
 
@@ -127,8 +136,8 @@
         if open_request.client:
             self._answer(open_request, FinalAnswer("failed", body=b"the agent ends\n"))
             self.post(it.Abandoned(open_request.number))
-            for call in list(open_request.calls.values()):
-                self.pool.cancel(call)
+            for attempt in list(open_request.open_attempts.values()):
+                self.pool.cancel(attempt.call)
 
     def close(self) -> None:
         """Close all sockets and timers at once."""
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -86,6 +86,8 @@
                         self._execute(action)
                     except Exception:  # the remaining actions are still executed
                         self.log.exception("action_failed", action=type(action).__name__)
+                if isinstance(event, it.StageNews):  # the module knows the cap by now, and decides anew under it
+                    self._withhold_above_lower_caps()
         finally:
             self._processing_queue = False
 
@@ -113,8 +115,10 @@
                         FinalAnswer("failed", body=b"failed\n", overdue=open_request.last in OVERDUE_ENDS),
                     )
             case it.Cancel(request, attempt):
-                if (open_request := self.open_requests.get(request)) and (call := open_request.calls.get(attempt)):
-                    self.pool.cancel(call)
+                if (open_request := self.open_requests.get(request)) and (
+                    found := open_request.open_attempts.get(attempt)
+                ):
+                    self.pool.cancel(found.call)
             case it.Probe(server):
                 self._probe(server)
             case it.CloseIdle(server):
@@ -206,11 +210,11 @@
             self.counts["abandoned"] += 1
             self._forget(open_request)
             self.post(it.Abandoned(number))
-            for call in list(open_request.calls.values()):
-                self.pool.withhold(call)
+            for attempt in list(open_request.open_attempts.values()):
+                self.pool.withhold(attempt.call)
 
     def _forget(self, open_request: OpenRequest) -> None:
-        if open_request.client is None and not open_request.calls:
+        if open_request.client is None and not open_request.open_attempts:
             del self.open_requests[open_request.number]
 
     def _answer(self, open_request: OpenRequest, answer: FinalAnswer) -> None:
--- a/tests/crossings/test_delivery.py
+++ b/tests/crossings/test_delivery.py
@@ -149,19 +149,29 @@
 LIMIT_S = 0.3
 WINDOW_MS = 1000.0
 GOES_ON_AFTER_S = 0.05  # after the end of the window
+LOWER_CAP_BINDS_AFTER_S = 0.15
 MAX_BEGIN_AFTER_LEAVING_S = 0.1  # an attempt that begins later after its client has gone is a break
 BODY = b"x" * 60_000
 
 
 @pytest.mark.parametrize(
-    ("payload", "end"), [(IN_KERNEL, End.CALLED_OFF), (IN_TRANSPORT, End.CALLED_OFF_CONNECTING)]
+    ("payload", "runs_when_whole", "end"),
+    [
+        (IN_KERNEL, True, End.CALLED_OFF),
+        (IN_TRANSPORT, True, End.CALLED_OFF_CONNECTING),
+        (IN_TRANSPORT, False, End.CALLED_OFF),  # as of HTTP, where a part of a request may start it
+    ],
+    ids=["in the kernel", "in the transport", "in the transport, may run in part"],
 )
 @pytest.mark.parametrize("loop", LOOPS)
-def test_a_request_that_is_not_delivered_by_its_limit_never_comes(payload: bytes, end: End, loop: str) -> None:
+def test_a_request_that_is_not_delivered_by_its_limit_never_comes(
+    payload: bytes, runs_when_whole: bool, end: End, loop: str
+) -> None:
     """Guards against a command that was written in time and is whole at its appliance only later."""
 
     async def work() -> None:
         async with half_written(payload, LIMIT_S) as (calls, call, conn):
+            calls.pool.appliance_protocol.runs_when_whole = runs_when_whole
             await until(lambda: calls.ends)
             assert asyncio.get_running_loop().time() >= call.deliver_by
             assert await read_all(conn) < len(payload) and calls.ends == [end]
@@ -307,6 +317,26 @@
     run(work, STEP_CLOCK)
 
 
+def test_a_command_that_the_kernel_holds_as_the_cap_of_its_build_falls_never_comes() -> None:
+    """Guards against attempts that count over a lower cap, which binds 0.15 s after the news."""
+
+    async def work() -> None:
+        still = BlockingAppliance(RECEIVE_BUFFER)
+        async with Rig(count=1) as rig:
+            rig.desk.publish(b"2 0 testing 1 5")
+            await rig.until(lambda: rig.seen(it.StageNews)[-1].build == 2)
+            _, conn = await write_to_still_server(rig, still, "race-entry")
+            rig.desk.publish(b"2 0 recalling 0 5")
+            await rig.until(lambda: rig.seen(it.StageNews)[-1].cap == 0)
+            await pass_time(rig, LOWER_CAP_BINDS_AFTER_S)
+            assert await read_all(conn) < len(BODY)
+            assert [outcome.status for outcome in rig.seen(it.Outcome)] == [it.Status.CANCELLED]
+        for one in (still, conn):
+            one.close()
+
+    run(work, STEP_CLOCK)
+
+
 def test_a_command_that_was_delivered_as_its_client_leaves_is_answered() -> None:
     """Guards against attempts that are given up with their clients although they run, which teaches nothing."""
 
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -191,7 +191,7 @@
             reader, writer = await rig.connect()
             writer.write(rig.ask("race-entry"))
             await rig.until(lambda: rig.servers[0].got)
-            call = next(c for h in rig.runtime.open_requests.values() for c in h.calls.values())
+            call = next(c for h in rig.runtime.open_requests.values() for c in h.open_attempts.values()).call
             answer = write_response(200, [], b"right\n")
             parsed = type(call.connection.parser)().feed(answer)[0]
             rig.runtime.pool._end(call, End.ANSWER, parsed)
