--- a/otterquay/lab/soak/appliances.py
+++ b/otterquay/lab/soak/appliances.py
@@ -10,6 +10,7 @@
 
 from otterquay.lab.attempt_audit import Audit
 from otterquay.lab.ports import HOST
+from otterquay.lab.soak.process import limit_listener_buffer
 from otterquay.lab.soak.script import Mode
 from otterquay.standins import tape as tp
 from otterquay.standins.feed_tape import incarnation, server_number
@@ -23,6 +24,9 @@
 USUAL_ANSWER_S = 0.015  # the longest time of a good answer
 LATE_ANSWER_S = (0.1, 1.5)
 MAX_SECOND_ANSWER_S = 0.003  # a second answer comes no later than this after the first
+FAILS_LATE_SHARE = 0.25
+FAILS_LATE_S = (0.35, 0.49)
+RECEIVE_BUFFER_BYTES = 2048  # of a connection, on days with large bodies
 SPOILT_ANSWERS = (b"\xff\x00*9\r\n", b"*3\r\n$-1\r\n", b":1\r\n")
 MIXED: dict[Mode, int] = {
     "good": 8,
@@ -50,6 +54,35 @@
         return self.written_at - self.first_began_at
 
 
+class StillingAppliance(Appliance):
+    """An appliance that can stand still: it reads nothing meanwhile, on new connections neither."""
+
+    still_until = 0.0
+
+    async def converse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serve one connection."""
+        if asyncio.get_running_loop().time() < self.still_until:
+            self._pause_reading(writer)
+        await super().converse(reader, writer)
+
+    def stand_still(self, seconds: float) -> None:
+        """Read nothing for so long."""
+        loop = asyncio.get_running_loop()
+        self.still_until = loop.time() + seconds
+        for writer in self.writers:
+            self._pause_reading(writer)
+        loop.call_later(seconds, self._go_on)
+
+    def _pause_reading(self, writer: asyncio.StreamWriter) -> None:
+        if not writer.is_closing():
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+
+    def _go_on(self) -> None:
+        for writer in self.writers:
+            if not writer.is_closing():
+                writer.transport.resume_reading()  # type: ignore[attr-defined]
+
+
 @dataclass
 class SoakAppliance:
     """One appliance, reached directly or over a link that can be cut; `entry` is its entry in discovery's list."""
@@ -61,7 +94,7 @@
     audit: Audit
     tape: tp.Tape
     mode: Mode = "good"
-    stand_in: Appliance = field(default_factory=Appliance)
+    stand_in: StillingAppliance = field(default_factory=StillingAppliance)
     link_state: LinkState = field(default_factory=LinkState)
     link: Link | None = None
     entry: dict[str, Any] = field(default_factory=dict)
@@ -88,6 +121,14 @@
             "startedAtMs": 0,
         }
 
+    def limit_receive_buffer(self) -> None:
+        """Let the kernel hold little of what is not read, on connections to come."""
+        limit_listener_buffer(self.stand_in.server, RECEIVE_BUFFER_BYTES)
+
+    def stand_still(self, seconds: float) -> None:
+        """Read and write nothing for so long."""
+        self.stand_in.stand_still(seconds)
+
     def close(self) -> None:
         """Close the listener and all connections."""
         self.stand_in.close()
@@ -132,6 +173,10 @@
                 self._answer_later(writer, words, value, self.rng.uniform(0.0, USUAL_ANSWER_S))
             case "late":
                 self._answer_later(writer, words, value, self.rng.uniform(*LATE_ANSWER_S))
+            case "fails_late" if self.rng.random() < FAILS_LATE_SHARE:
+                self._answer_later(writer, words, b"-ERR failed\r\n", self.rng.uniform(*FAILS_LATE_S))
+            case "fails_late":
+                self._answer_later(writer, words, value, self.rng.uniform(0.0, USUAL_ANSWER_S))
             case "twice":
                 self._answer_twice(writer, words, value)
             case "busy":
@@ -150,7 +195,13 @@
                 writer.transport.abort()
 
     def _answer_later(self, writer: asyncio.StreamWriter, words: list[bytes], value: bytes, seconds: float) -> None:
-        asyncio.get_running_loop().call_later(seconds, self.audit.answered, words, writer, value)
+        asyncio.get_running_loop().call_later(seconds, self._answer_unless_still, writer, words, value)
+
+    def _answer_unless_still(self, writer: asyncio.StreamWriter, words: list[bytes], value: bytes) -> None:
+        if (still_s := self.stand_in.still_until - asyncio.get_running_loop().time()) > 0:
+            self._answer_later(writer, words, value, still_s)
+        else:
+            self.audit.answered(words, writer, value)
 
     def _answer_twice(self, writer: asyncio.StreamWriter, words: list[bytes], value: bytes) -> None:
         loop = asyncio.get_running_loop()
--- a/otterquay/lab/soak/day.py
+++ b/otterquay/lab/soak/day.py
@@ -66,7 +66,7 @@
         self.feeds = [
             Feeds(FeedTape(self.tape, agent, len(ROLLOUT_STAGES), self.now)) for agent in range(script.agents)
         ]
-        maker = RequestMaker(self._rng, script.customer.settings)
+        maker = RequestMaker(self._rng, script.customer.settings, script.body_bytes)
         self.clients = Clients(maker, self._rng, self.tape, lambda id: id in self.audit.tries)
         self.state = INITIAL_STATE
         self._tasks: OrderedSet[asyncio.Task[None]] = OrderedSet()
@@ -133,6 +133,8 @@
         ports = iter(appliance_ports)
         for appliance in self.appliances:
             await appliance.start(next(ports), next(ports))
+            if self.script.body_bytes:
+                appliance.limit_receive_buffer()
             self._list(appliance)
 
     def _list(self, appliance: SoakAppliance) -> None:
@@ -273,6 +275,8 @@
                 self._spawn(self._pause(event))
             case events.Behaviour():
                 self._behave(event)
+            case events.Standstill():
+                self.appliances[event.appliance].stand_still(event.seconds)
             case events.Drain():
                 self._drain(event)
             case events.Cut():
--- a/otterquay/lab/soak/process.py
+++ b/otterquay/lab/soak/process.py
@@ -44,6 +44,12 @@
     transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
 
 
+def limit_listener_buffer(server: asyncio.Server, size_bytes: int) -> None:
+    """Let the kernel hold little of what is not read on the connections that a listener accepts from now on."""
+    for listener in server.sockets:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size_bytes)
+
+
 @dataclass(slots=True)
 class ProcessRun:
     """One run of an agent's process, from its start to its end. Times are on the event loop's clock."""
--- a/otterquay/lab/soak/report.py
+++ b/otterquay/lab/soak/report.py
@@ -6,13 +6,14 @@
 import json
 import sys
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import TextIO
 
 from otterquay.lab.soak.day import play
 from otterquay.lab.soak.judge import COUNTS, Findings, judge
-from otterquay.lab.soak.script import LAST_SEED, draw_script
+from otterquay.lab.soak.script import LAST_SEED, Script, draw_script
+from otterquay.lab.soak.standstill_script import draw_standstill_script
 
 SHOWN_FINDINGS = 5  # of a count and day
 
@@ -60,11 +61,13 @@
     return range(first, first + count)
 
 
-def soak(seeds: Iterable[int], progress: TextIO, timed: bool = True) -> Totals:
+def soak(
+    seeds: Iterable[int], progress: TextIO, timed: bool = True, draw: Callable[[int], Script] = draw_script
+) -> Totals:
     """Play and judge the days of these seeds, one after another; a day that failed prints its script."""
     totals = Totals()
     for seed in seeds:
-        script = draw_script(seed)
+        script = draw(seed)
         recording = asyncio.run(play(script, timed))
         findings = judge(recording)
         totals.add(seed, findings)
@@ -88,13 +91,13 @@
     return lines
 
 
-def run_command(first: int, count: int, as_json: bool) -> int:
+def run_command(first: int, count: int, as_json: bool, standstill: bool = False) -> int:
     """Run the command; returns its exit code: 0, 1 if a count is not zero, 2 for a range that is none."""
     try:
         seeds = seed_range(first, count)
     except ValueError as error:
         print(f"soak: {error}", file=sys.stderr)
         return 2
-    totals = soak(seeds, sys.stderr)
+    totals = soak(seeds, sys.stderr, draw=draw_standstill_script if standstill else draw_script)
     print(totals.as_json() if as_json else totals.table())
     return 1 if totals.failed_seeds else 0
--- a/otterquay/lab/soak/requests.py
+++ b/otterquay/lab/soak/requests.py
@@ -47,8 +47,8 @@
 class RequestMaker:
     """Draws requests of a customer's classes and tenants, with ids that never repeat."""
 
-    def __init__(self, rng: random.Random, settings: dict[str, Any]) -> None:
-        self._rng = rng
+    def __init__(self, rng: random.Random, settings: dict[str, Any], body_bytes: int = 0) -> None:
+        self._rng, self._body_bytes = rng, body_bytes
         self._classes: list[dict[str, Any]] = settings["requestClasses"]
         self._tenants = [str(tenant["name"]) for tenant in settings["tenants"]]
         self._made = 0
@@ -70,7 +70,7 @@
         if cls["effect"] == "idempotent":
             words = [b"SVC.QUERY", *words]
         else:
-            words = [b"SVC.SUBMIT", *words, b"body of " + id]
+            words = [b"SVC.SUBMIT", *words, (b"body of " + id).ljust(self._body_bytes, b".")]
         return Request(id, cls["name"], tenant, words, deadline_ms / 1e3, run)
 
     def _deadline_ms(self, longest_ms: float) -> int:
--- a/otterquay/lab/soak/script.py
+++ b/otterquay/lab/soak/script.py
@@ -13,7 +13,7 @@
 LAST_SEED = 2**32 - 1
 Signal = Literal["TERM", "HUP", "STOP", "CONT"]
 ConfigKind = Literal["same", "moved", "half", "empty", "foreign", "missing"]
-Mode = Literal["good", "hang", "close", "reset", "late", "twice", "spoilt", "busy", "error", "mixed"]
+Mode = Literal["good", "hang", "close", "reset", "late", "twice", "spoilt", "busy", "error", "mixed", "fails_late"]
 ClientKind = Literal["steady", "waiting", "leaver", "stops_midway", "does_not_read", "breaks_protocol"]
 
 QUIET_START_S = 0.4  # before the first event
@@ -93,6 +93,15 @@
     seconds: float
 
 
+@dataclass(frozen=True, slots=True)
+class Standstill:
+    """An appliance reads and writes nothing for `seconds`; its kernel takes a few bytes of a connection."""
+
+    at: float
+    appliance: int
+    seconds: float
+
+
 @dataclass(frozen=True, slots=True)
 class Drain:
     """Discovery tells that an appliance drains; `seconds` later it is in service, at this build, perhaps cold."""
@@ -151,7 +160,20 @@
     each: int
 
 
-Event = Restart | Kill | Reload | Pause | Behaviour | Drain | Cut | Stage | DiscoveryTrouble | LongList | Crowd
+Event = (
+    Restart
+    | Kill
+    | Reload
+    | Pause
+    | Behaviour
+    | Standstill
+    | Drain
+    | Cut
+    | Stage
+    | DiscoveryTrouble
+    | LongList
+    | Crowd
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -169,6 +191,7 @@
     rests: bool  # whether clients leave before the end, so that what the agents still hold can be counted
     end_series: tuple[Step, ...]
     hang_at_end: tuple[int, ...]  # appliances that hang through the planned end of all
+    body_bytes: int = 0  # the least size of a request's body
 
     def lines(self) -> list[str]:
         """The script in words, one line an event."""
@@ -213,7 +236,7 @@
     clients += [kind for kind in others if rng.random() < 0.35]
     end_rng = random.Random(seed ^ PLANNED_END_DRAWS)
     clients += ["waiting"] * end_rng.choice(WAITING_CLIENTS[: 2 if crowd else None])
-    draw = _EventDrawer(rng, agents, appliances, relayed)
+    draw = EventDrawer(rng, agents, appliances, relayed)
     events = draw.events(crowd)
     ends_at = QUIET_START_S + EVENTS_S + QUIET_END_S
     rests = customer.settings["limits"]["keepaliveMs"] <= RESTING_KEEPALIVE_MS and rng.random() < 0.7
@@ -239,7 +262,7 @@
     return tuple(sorted(rng.sample(range(appliances), math.ceil(appliances * HANG_AT_END_SHARE))))
 
 
-class _EventDrawer:
+class EventDrawer:
     """Draws events at any time within the day's middle; those of the processes come in each day."""
 
     def __init__(self, rng: random.Random, agents: int, appliances: int, relayed: tuple[int, ...]) -> None:
@@ -248,7 +271,7 @@
     def events(self, crowd: bool) -> tuple[Event, ...]:
         """Return all events of the day in the order of their times."""
         rng = self._rng
-        drawn = self._restarts()
+        drawn = self.restarts()
         choices: list[Callable[[], Event]] = [
             self._reload,
             self._pause,
@@ -263,7 +286,7 @@
         if rng.random() < 0.2:
             drawn.append(LongList(self._time(), rng.choice((300, 1500))))
         if crowd:
-            drawn += [self._crowd() for _ in range(rng.randint(1, 3))]
+            drawn += [self.crowd() for _ in range(rng.randint(1, 3))]
         return tuple(sorted(drawn, key=lambda event: event.at))
 
     def term_series(self) -> tuple[Step, ...]:
@@ -280,7 +303,7 @@
     def _agent(self) -> int:
         return self._rng.randrange(self._agents)
 
-    def _restarts(self) -> list[Event]:
+    def restarts(self) -> list[Event]:
         """All agents in turn, or some at drawn times, planned or killed."""
         rng = self._rng
         if rng.random() < 0.3:
@@ -340,7 +363,8 @@
         kinds: tuple[Literal["silent", "slow", "broken"], ...] = ("silent", "slow", "broken")
         return DiscoveryTrouble(self._time(), rng.choice(kinds), rng.uniform(0.2, 2.0), rng.uniform(0.05, 0.8))
 
-    def _crowd(self) -> Crowd:
+    def crowd(self) -> Crowd:
+        """Return a crowd at one of the agents."""
         rng = self._rng
         clients, each = rng.choice(CROWDS)
         return Crowd(self._time(), self._agent(), clients, each)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -39,8 +39,9 @@
     "test_orders",
     "test_chat_hub",
 )
-# One worker creates the expensive fixture of such a module, once.
+# One worker creates an expensive fixture of such a module, once.
 SHARED_FIXTURE_MODULES = ("test_chat_night", "test_auditor", "test_soak")
+SHARED_FIXTURES = ("nights", "days", "standstill_days")
 
 
 @dataclass(frozen=True)
@@ -112,7 +113,6 @@
     for item in items:
         if known := known_failures.get(item.nodeid):
             item.add_marker(pytest.mark.xfail(strict=not known.intermittent, reason=str(known)))
-        if item.path.stem in SHARED_FIXTURE_MODULES and not {"nights", "days"}.isdisjoint(
-            getattr(item, "fixturenames", ())
-        ):
-            item.add_marker(pytest.mark.xdist_group(item.path.stem))
+        if item.path.stem in SHARED_FIXTURE_MODULES:
+            for fixture in set(SHARED_FIXTURES) & set(getattr(item, "fixturenames", ())):
+                item.add_marker(pytest.mark.xdist_group(f"{item.path.stem} {fixture}"))
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m tests.soak --first N --seeds M [--json]`: plays and judges the soak days of these seeds."""
+"""`python -m tests.soak --first N --seeds M [--standstill] [--json]`: plays and judges soak days."""
 
 from __future__ import annotations
 
@@ -14,8 +14,9 @@
     parser.add_argument("--first", type=int, default=0, metavar="N", help="the first seed")
     parser.add_argument("--seeds", type=int, default=1, metavar="M", help="how many seeds")
     parser.add_argument("--json", action="store_true", help="print one JSON object in place of the table")
+    parser.add_argument("--standstill", action="store_true", help="days of appliances that stand still")
     arguments = parser.parse_args()
-    return run_command(arguments.first, arguments.seeds, arguments.json)
+    return run_command(arguments.first, arguments.seeds, arguments.json, arguments.standstill)
 
 
 if __name__ == "__main__":
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 import asyncio
 import io
 import json
+import random
 import sys
 from collections.abc import Callable
 from dataclasses import replace
@@ -19,18 +20,21 @@
 from otterquay.lab.attempt_audit import Audit
 from otterquay.lab.ports import TCP, claim_ports
 from otterquay.lab.soak import report
-from otterquay.lab.soak.appliances import PORTS, SecondAnswer
+from otterquay.lab.soak.appliances import PORTS, SecondAnswer, SoakAppliance, StillingAppliance
 from otterquay.lab.soak.clients import SeenByClients
 from otterquay.lab.soak.day import Day, Recording
 from otterquay.lab.soak.judge import COUNTS, Findings, judge
 from otterquay.lab.soak.process import ProcessRun
 from otterquay.lab.soak.requests import Request
-from otterquay.lab.soak.script import LAST_SEED, draw_script
-from otterquay.protocol.resp import Answer
+from otterquay.lab.soak.script import LAST_SEED, Standstill, draw_script
+from otterquay.lab.soak.standstill_script import draw_standstill_script
+from otterquay.protocol.resp import Answer, encode_command
 from otterquay.standins import tape as tp
+from otterquay.standins.resp import never_answer
 from tests.soak.__main__ import main
 
 CI_SEEDS = (2, 3, 10, 15)
+CI_STANDSTILL_SEEDS = (0, 3)
 SEED_OF_RECORDS = 4
 
 
@@ -46,6 +50,53 @@
     assert not findings.found[count] and findings.answers["served"]
 
 
+@pytest.fixture(scope="module")
+def standstill_days() -> report.Totals:
+    return report.soak(CI_STANDSTILL_SEEDS, sys.stdout, timed=False, draw=draw_standstill_script)
+
+
+@pytest.mark.parametrize("count", COUNTS)
+@pytest.mark.parametrize("seed", CI_STANDSTILL_SEEDS)
+def test_the_standstill_days_of_ci_show_no_fault(standstill_days: report.Totals, seed: int, count: str) -> None:
+    findings = standstill_days.findings[seed]
+    assert not findings.found[count] and findings.answers["served"]
+
+
+def test_a_standstill_day_has_standstills_and_requests_that_no_appliances_kernel_holds_as_a_whole() -> None:
+    """Guards against days on which each command is whole before its appliance reads it, which show nothing."""
+    script = draw_standstill_script(7)
+    assert script == draw_standstill_script(7) != draw_standstill_script(8)
+    assert any(isinstance(event, Standstill) for event in script.events)
+    assert all(cls["effect"] != "idempotent" for cls in script.customer.classes), (
+        "requests without a body are small"
+    )
+
+
+def test_an_appliance_that_stands_still_takes_no_whole_command_until_it_goes_on() -> None:
+    """Guards against standstills in which commands arrive as ever, on connections old and new."""
+
+    async def work() -> None:
+        still = StillingAppliance(never_answer)
+        host, port = split_address(await still.start())
+        SoakAppliance(0, "", False, random.Random(1), Audit({}), tp.Tape(), stand_in=still).limit_receive_buffer()
+        command = encode_command([b"SVC.SUBMIT", b"key", b"id", b"c=class-0", b"x" * 60_000])
+        _, before = await asyncio.open_connection(host, port)
+        still.stand_still(0.2)
+        _, after = await asyncio.open_connection(host, port)
+        for writer in (before, after):
+            writer.write(command)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(20):
+            while len(still.got) < 2:
+                assert not still.got or loop.time() >= still.still_until
+                await asyncio.sleep(0.001)
+        for writer in (before, after):
+            writer.close()
+        still.close()
+
+    asyncio.run(work())
+
+
 # --- the judge, on records made by hand ---
 class Made:
     """A recording of a day without fault: one run of an agent, one request with its answer."""
