Pool: the kernel discards the rest of a request when its agent is killed

Callers may see: a repeat of an agent that was killed comes whole after its window, as the appliance that stood still reads on.

Cause: a kernel closes the sockets of a dead process in order and sends what it holds, unless the socket says otherwise.

Change: connections to appliances have SO_LINGER of 0 s from their start; it is taken off before a connection that is acknowledged in full is closed, which so still ends in order.

Result: the new test failed before (all 60,014 bytes came after SIGKILL) and passes. A close in order has a test that fails with the reset of SO_LINGER taken out, on both event loops. 357 passed in tests/crossings, test_agent, test_node.

--- a/otterquay/agent/connection_pool.py
+++ b/otterquay/agent/connection_pool.py
@@ -16,6 +16,7 @@
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import ApplianceProtocol
 from otterquay.agent.sockets import (
+    discard_on_close,
     end_sending,
     has_unread_data,
     is_delivered,
@@ -207,6 +208,7 @@
             call.task = None  # it is this task, which returns below
             self.log.info("connect_failed", address=call.address, error=str(error) or type(error).__name__)
             return self._end(call, End.NO_CONNECTION)
+        discard_on_close(writer.transport)  # a process that dies sends no rest of a request
         connection = Connection(call.address, reader, writer, self.appliance_protocol.parser(), 0.0, use=call.use)
         self.open.add(connection)
         self.opened += 1
@@ -293,6 +295,7 @@
             free.remove(connection)
         # The end reaches the kernel before the next attempt of the same request can be written.
         if is_delivered(connection.writer.transport):
+            discard_on_close(connection.writer.transport, discard=False)
             end_sending(connection.writer.transport)
             connection.writer.close()
         else:
--- a/otterquay/agent/sockets.py
+++ b/otterquay/agent/sockets.py
@@ -18,6 +18,7 @@
 _SHUT_WR = 1  # of shutdown(2)
 _SOL_SOCKET, _SO_LINGER = 1, 13  # of setsockopt(2)
 _DISCARD_ON_CLOSE = struct.pack("ii", 1, 0)  # struct linger: on, for 0 s
+_SEND_ON_CLOSE = struct.pack("ii", 0, 0)  # struct linger: off
 _UNSPECIFIED_ADDRESS = bytes(16)  # struct sockaddr of AF_UNSPEC, which dissolves a connection (connect(2))
 _LIBC = ctypes.CDLL(None)
 _CLOSED_EVENTS = select.POLLHUP | select.POLLERR | select.POLLNVAL
@@ -91,12 +92,24 @@
     """
     transport_socket = transport.get_extra_info("socket")
     if transport_socket is not None and not _dissolve(transport_socket.fileno()):
-        with contextlib.suppress(OSError):  # the next best: the rest is discarded as the transport closes
-            transport_socket.setsockopt(_SOL_SOCKET, _SO_LINGER, _DISCARD_ON_CLOSE)
+        discard_on_close(transport)  # the next best: the rest is discarded as the transport closes
         end_sending(transport)
     transport.abort()
 
 
+def discard_on_close(transport: asyncio.BaseTransport, discard: bool = True) -> None:
+    """Let the kernel discard what it holds when the socket is closed, also by the death of the process.
+
+    With `discard` false it sends the rest, as sockets do at first. Nothing changes where the system refuses this.
+    """
+    transport_socket = transport.get_extra_info("socket")
+    if transport_socket is None or transport_socket.fileno() < 0:  # simulated network, or closed already
+        return
+    with contextlib.suppress(OSError):
+        linger = _DISCARD_ON_CLOSE if discard else _SEND_ON_CLOSE
+        transport_socket.setsockopt(_SOL_SOCKET, _SO_LINGER, linger)
+
+
 def _dissolve(fd: int) -> bool:
     """End the connection of a TCP socket with a reset; false where it is closed or the system refuses this."""
     return fd >= 0 and _LIBC.connect(fd, _UNSPECIFIED_ADDRESS, len(_UNSPECIFIED_ADDRESS)) == 0
--- a/tests/crossings/test_delivery.py
+++ b/tests/crossings/test_delivery.py
@@ -8,6 +8,7 @@
 import asyncio
 import math
 import socket
+import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -117,6 +118,72 @@
     run(work, loop)
 
 
+WRITE_AND_WAIT = """
+import asyncio, sys
+from otterquay.agent.connection_pool import Pool
+from otterquay.logs import silent
+from otterquay.node.resp_codec import RespCodec
+
+async def main():
+    payload, pool = sys.stdin.buffer.read(), Pool(5.0, 60.0, RespCodec([]), silent())
+    until = asyncio.get_running_loop().time() + 60
+    call = pool.call(sys.argv[1], b"1-0", lambda: payload, until, lambda *_: None)
+    while not call.connection or call.connection.writer.transport.get_write_buffer_size():
+        await asyncio.sleep(0.001)
+    print("written", flush=True)
+    await asyncio.sleep(60)
+
+asyncio.run(main())
+"""
+
+
+def test_the_rest_of_a_request_never_comes_after_the_death_of_its_process() -> None:
+    """Guards against a repeat of a killed agent that comes after its window: the kernel outlives the process."""
+
+    async def work() -> None:
+        still = BlockingAppliance(RECEIVE_BUFFER)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-c",
+            WRITE_AND_WAIT,
+            still.address,
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+        )
+        assert process.stdin and process.stdout
+        process.stdin.write(IN_KERNEL)
+        process.stdin.close()
+        conn = await still.accept()
+        async with asyncio.timeout(20):
+            assert await process.stdout.readline() == b"written\n"
+        process.kill()
+        await process.wait()
+        assert await read_all(conn) < len(IN_KERNEL)
+        for one in (still, conn):
+            one.close()
+
+    run(work)
+
+
+@pytest.mark.parametrize("loop", LOOPS)
+def test_an_idle_connection_ends_in_order(loop: str) -> None:
+    """Guards against resets where a close is due: an appliance may take them for a failure."""
+
+    async def work() -> None:
+        calls, plain = PoolCalls(), BlockingAppliance()
+        conn = await calls.answered(plain)
+        calls.pool.close_idle(plain.address)
+        conn.setblocking(False)
+        assert await asyncio.get_running_loop().sock_recv(conn, 100) == b""
+        for _ in range(TURNS_OF_A_CLOSE):
+            await asyncio.sleep(0)
+        assert conn.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0
+        for one in (plain, conn):
+            one.close()
+
+    run(work, loop)
+
+
 class RefusingLibc:
     """A C library whose `connect` dissolves no connection."""
 
