Attempts: what begins an attempt and what decides that it may not stand in functions of their own

It now checks and reports; `_present_client` tells whether the client is there, `_begin` starts the exchange. Nothing else is changed.

--- a/otterquay/agent/attempts.py
+++ b/otterquay/agent/attempts.py
@@ -16,6 +16,7 @@
 from otterquay.agent.feeds import share_allowed
 from otterquay.agent.lifecycle import Lifecycle, OpenAttempt, OpenRequest, Phase
 from otterquay.agent.outcomes import END_MEANINGS, End
+from otterquay.agent.ports import Requester
 from otterquay.protocol import news
 
 
@@ -46,23 +47,40 @@
         return share_allowed(build, self.newest, self.settings.rollout.stage_cap[0]) if self.newest else 1.0
 
     def _send(self, send: it.Send) -> None:
-        request, server = send.request, send.server
-        open_request = self.open_requests.get(request)
+        """Start an attempt that the module has decided on, or report it as moot if it can no longer begin."""
+        open_request = self.open_requests.get(send.request)
         if open_request is None:
-            return self.post(it.Outcome(request, server, 0, it.Status.MOOT, 0.0, True, ()))
+            return self.post(it.Outcome(send.request, send.server, 0, it.Status.MOOT, 0.0, True, ()))
         attempt, open_request.attempts = open_request.attempts, open_request.attempts + 1
-        entry, now = self.ports.list.entries.get(server), self._now()
+        entry = self.ports.list.entries.get(send.server)
+        client = self._present_client(open_request)
         until = min(send.until_ms / 1e3, open_request.deadline_s) if send.until_ms > 0 else open_request.deadline_s
         deliver_by = send.deliver_by_ms / 1e3
-        client = open_request.client
-        if client and (self.phase is Phase.CLOSED or client.has_left()):  # disconnected, but not yet read
-            self.log.debug("client_left_unread", request=request)
-            client = None
-        over = client is None
-        is_late = min(until, deliver_by) <= now
+        is_late = min(until, deliver_by) <= self._now()
         if client is None or entry is None or is_late or attempt >= self.settings.limits.max_attempts:
-            return self.post(it.Outcome(request, server, attempt, it.Status.MOOT, 0.0, over, ()))
-        address, build = entry.address, entry.build
+            over = client is None
+            return self.post(it.Outcome(send.request, send.server, attempt, it.Status.MOOT, 0.0, over, ()))
+        self._begin(open_request, client, entry, attempt, until, deliver_by)
+
+    def _present_client(self, open_request: OpenRequest) -> Requester | None:
+        """Return the client of a request, or None if it has disconnected, also if that is not read yet."""
+        client = open_request.client
+        if client and (self.phase is Phase.CLOSED or client.has_left()):
+            self.log.debug("client_left_unread", request=open_request.number)
+            return None
+        return client
+
+    def _begin(
+        self,
+        open_request: OpenRequest,
+        client: Requester,
+        entry: news.Entry,
+        attempt: int,
+        until: float,
+        deliver_by: float,
+    ) -> None:
+        """Start the exchange of an attempt with the server of a list entry."""
+        request, server, build = open_request.number, entry.server, entry.build
         tag, share_at_decision = self.ports.appliance_protocol.tag(request, attempt), self._allowed_share(build)
 
         def build_payload() -> bytes | None:
@@ -78,7 +96,7 @@
                 return None
             self.counts["attempts"] += 1
             return self.ports.appliance_protocol.attempt(
-                open_request.request, tag, address, (until - self._now()) * 1e3
+                open_request.request, tag, entry.address, (until - self._now()) * 1e3
             )
 
         def done(call: Call, end: End, answer: Any | None) -> None:
@@ -97,7 +115,7 @@
         if self.ports.state_store and self.ports.desk.capped(build):
             self.ports.state_store.tried(build, open_request.request.cls)
         client.attempt(attempt + 1)
-        call = self.pool.call(address, tag, build_payload, until, done, deliver_by)
+        call = self.pool.call(entry.address, tag, build_payload, until, done, deliver_by)
         open_request.open_attempts[attempt] = OpenAttempt(call, build, share_at_decision)
         self.log.debug("attempt", request=request, attempt=attempt, server=server, tag=tag)
 
