--- a/otterquay/lab/cluster/world.py
+++ b/otterquay/lab/cluster/world.py
@@ -29,6 +29,9 @@
 from otterquay.standins.yard import Yard
 from otterquay.standins.yard_ledger import Effect, YardLedger
 
+JOIN_LIMIT_S = 120.0
+JOIN_CHECK_INTERVAL_S = 0.1
+
 
 @dataclass(eq=False)  # no slots: with them, super() without arguments fails
 class ClusterWorld(World):
@@ -107,8 +110,20 @@
                 )
             )
         await super()._start()
+        await self._wait_until_joined()
         self._tasks.add(asyncio.get_running_loop().create_task(self._end_servers(rng)))
 
+    async def _wait_until_joined(self) -> None:
+        """Wait until the group knows every agent: before that an agent has no vote in its site.
+
+        The times of a day count from then, however long the disks take. Raises TimeoutError.
+        """
+        waiting_since = self._now()
+        while missing := sorted(self.sites.keys() - self.observer.books.group_state.joined):
+            if self._now() - waiting_since > JOIN_LIMIT_S:
+                raise TimeoutError(f"agents {missing} have not joined the group in {JOIN_LIMIT_S:g} s")
+            await asyncio.sleep(JOIN_CHECK_INTERVAL_S)
+
     def place(self, place: AgentPlacement) -> AgentHost:
         """Create the host of an agent's process."""
         return ClusterHost(self.folder / f"agent-{place.number}.hcl", place, self.folder / "group.key", self.folder)
--- a/tests/fleet/test_cluster.py
+++ b/tests/fleet/test_cluster.py
@@ -16,8 +16,10 @@
 from cluster_world import SlowHost, make_world
 
 from otterquay.cli import main
+from otterquay.lab.cluster import world as cluster_world
 from otterquay.lab.cluster.day import load_cluster_day
 from otterquay.lab.hosts import AgentPlacement, AgentProcess
+from otterquay.lab.world import World
 
 ROOT = Path(__file__).parents[2]
 DAYS = sorted(p for p in (ROOT / "examples" / "cluster").glob("[01]*.hcl"))
@@ -99,6 +101,39 @@
     asyncio.run(_share_one_start())
 
 
+@pytest.mark.parametrize("last_joins", [True, False])
+def test_a_day_does_not_begin_before_all_agents_may_vote(
+    last_joins: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a site that is cut off before its agents joined, as disks are slow: it elects nobody again."""
+
+    async def start_nothing(_: World) -> None: ...
+
+    async def start_with_one_agent_missing() -> None:
+        world = make_world([])
+        world.folder = tmp_path
+        start = asyncio.create_task(world._start())
+        while not world.addresses:
+            await asyncio.sleep(0)
+        joined = world.observer.books.group_state.joined
+        joined.extend(sorted(world.sites)[:-1])
+        await asyncio.sleep(0.3)
+        assert not start.done()
+        if last_joins:
+            joined.append(max(world.sites))
+        try:
+            await start
+        finally:
+            await world._close()
+
+    monkeypatch.setattr(World, "_start", start_nothing)
+    monkeypatch.setattr(cluster_world, "JOIN_LIMIT_S", 120.0 if last_joins else 0.4)
+    if last_joins:
+        return asyncio.run(start_with_one_agent_missing())
+    with pytest.raises(TimeoutError, match=r"agents \[5\] have not joined"):
+        asyncio.run(start_with_one_agent_missing())
+
+
 def test_a_place_has_one_process_at_a_time(tmp_path: Path) -> None:
     async def start_while_running() -> tuple[int | None, str]:
         place = AgentPlacement(0, 1, "north", "", "", 1, {})
