--- a/otterquay/agent/sockets.py
+++ b/otterquay/agent/sockets.py
@@ -14,6 +14,7 @@
 import struct
 import sys
 import termios
+from typing import Any
 
 _SHUT_WR = 1  # of shutdown(2)
 _SOL_SOCKET, _SO_LINGER = 1, 13  # of setsockopt(2)
@@ -49,13 +50,18 @@
     return _events(transport, select.POLLRDHUP) & (_CLOSED_EVENTS | select.POLLRDHUP) != 0
 
 
+def _open_socket(transport: asyncio.BaseTransport) -> Any | None:
+    """The socket of a transport; None on a simulated network, or if it is closed already."""
+    transport_socket = transport.get_extra_info("socket")
+    return transport_socket if transport_socket is not None and transport_socket.fileno() >= 0 else None
+
+
 def end_sending(transport: asyncio.BaseTransport) -> None:
     """End the sending on a TCP connection at once; bytes that the transport still buffers are never sent.
 
     A transport closes its socket one turn of the event loop later, after whatever is written in this turn.
     """
-    transport_socket = transport.get_extra_info("socket")
-    if transport_socket is None or transport_socket.fileno() < 0:  # simulated network, or closed already
+    if (transport_socket := _open_socket(transport)) is None:
         return
     with contextlib.suppress(OSError):  # the peer has reset the connection, or no descriptor is free
         duplicate = transport_socket.dup()
@@ -70,11 +76,10 @@
 
     The largest number where the kernel does not tell.
     """
-    transport_socket = transport.get_extra_info("socket")
-    if transport_socket is None or (fd := transport_socket.fileno()) < 0:  # simulated network, or closed already
+    if (transport_socket := _open_socket(transport)) is None:
         return 0
     try:
-        queued = fcntl.ioctl(fd, termios.TIOCOUTQ, bytes(4))
+        queued = fcntl.ioctl(transport_socket.fileno(), termios.TIOCOUTQ, bytes(4))
     except OSError:
         return sys.maxsize
     return int.from_bytes(queued, sys.byteorder)
@@ -90,7 +95,7 @@
 
     An orderly close sends the rest in the background, however long the peer takes to receive it.
     """
-    transport_socket = transport.get_extra_info("socket")
+    transport_socket = _open_socket(transport)
     if transport_socket is not None and not _dissolve(transport_socket.fileno()):
         discard_on_close(transport)  # the next best: the rest is discarded as the transport closes
         end_sending(transport)
@@ -102,8 +107,7 @@
 
     With `discard` false it sends the rest, as sockets do at first. Nothing changes where the system refuses this.
     """
-    transport_socket = transport.get_extra_info("socket")
-    if transport_socket is None or transport_socket.fileno() < 0:  # simulated network, or closed already
+    if (transport_socket := _open_socket(transport)) is None:
         return
     with contextlib.suppress(OSError):
         linger = _DISCARD_ON_CLOSE if discard else _SEND_ON_CLOSE
@@ -111,8 +115,9 @@
 
 
 def _dissolve(fd: int) -> bool:
-    """End the connection of a TCP socket with a reset; false where it is closed or the system refuses this."""
-    return fd >= 0 and _LIBC.connect(fd, _UNSPECIFIED_ADDRESS, len(_UNSPECIFIED_ADDRESS)) == 0
+    """End the connection of a TCP socket with a reset; false where the system refuses this."""
+    status: int = _LIBC.connect(fd, _UNSPECIFIED_ADDRESS, len(_UNSPECIFIED_ADDRESS))
+    return status == 0
 
 
 def is_writable(fd: int) -> bool:
