Pool: the log tells which limit called off a request, also one that connects

Change: `withhold` is given its reason, as `DeliveryLimit`; `request_not_delivered` names it, and is written for each request that is called off so, connecting or written. When and how attempts are called off is as before.

In two tests the call names a limit; what they ask for is the same.

--- a/otterquay/agent/attempts.py
+++ b/otterquay/agent/attempts.py
@@ -12,7 +12,7 @@
 from blake3 import blake3
 
 from otterquay import interface as it
-from otterquay.agent.exchange import Call
+from otterquay.agent.exchange import Call, DeliveryLimit
 from otterquay.agent.feeds import share_allowed
 from otterquay.agent.lifecycle import Lifecycle, OpenAttempt, OpenRequest, Phase
 from otterquay.agent.outcomes import END_MEANINGS, End
@@ -124,7 +124,7 @@
         for open_request in list(self.open_requests.values()):
             for attempt in list(open_request.open_attempts.values()):
                 if self._allowed_share(attempt.build) < attempt.allowed_share:
-                    self.pool.withhold(attempt.call)
+                    self.pool.withhold(attempt.call, DeliveryLimit.CAP_FELL)
 
     def _attempt_done(
         self,
--- a/otterquay/agent/connection_pool.py
+++ b/otterquay/agent/connection_pool.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from otterquay.addresses import split_address
-from otterquay.agent.exchange import Call, Connection, ConnectionUse, PayloadBuilder
+from otterquay.agent.exchange import Call, Connection, ConnectionUse, DeliveryLimit, PayloadBuilder
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import ApplianceProtocol
 from otterquay.agent.sockets import (
@@ -69,7 +69,7 @@
         call = Call(address, tag, build_payload, done, loop.time())
         call.timer = loop.call_at(until, self._overdue, call)
         if deliver_by < until:
-            self._limit_delivery(call, deliver_by)
+            self._limit_delivery(call, deliver_by, DeliveryLimit.REPEAT_WINDOW)
         idle_before = loop.time() - self.min_reuse_idle_s
         for connection in reversed(free := self.idle.get(address, [])):
             if connection.idle_since > idle_before:
@@ -101,12 +101,16 @@
         """Cancel a call and close its connection, so that the appliance notices."""
         self._end(call, End.CALLED_OFF if self._sent(call) else End.CALLED_OFF_CONNECTING)
 
-    def withhold(self, call: Call) -> None:
+    def withhold(self, call: Call, limit: DeliveryLimit) -> None:
         """Cancel a call unless its request is delivered; what the kernel holds has a moment to be acknowledged."""
+        if call.ended:
+            return
         if not self._sent(call):
-            self._end(call, End.CALLED_OFF_CONNECTING)
+            call.limit = limit
+            self._log_not_delivered(call)
+            self.cancel(call)
         elif call.connection and not is_delivered(call.connection.writer.transport):
-            self._limit_delivery(call, asyncio.get_running_loop().time() + ACKNOWLEDGEMENT_S)
+            self._limit_delivery(call, asyncio.get_running_loop().time() + ACKNOWLEDGEMENT_S, limit)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to one appliance."""
@@ -151,30 +155,34 @@
         """Whether part of a request that runs only once complete is still in the write buffer."""
         return self.appliance_protocol.runs_when_whole and connection.writer.transport.get_write_buffer_size() > 0
 
-    def _limit_delivery(self, call: Call, deliver_by: float) -> None:
+    def _limit_delivery(self, call: Call, deliver_by: float, limit: DeliveryLimit) -> None:
         """Call off a call that is not delivered by this time, or by the earlier one that it has."""
         if deliver_by >= call.deliver_by:
             return
         if call.delivery_timer:
             call.delivery_timer.cancel()
-        call.deliver_by = deliver_by
+        call.deliver_by, call.limit = deliver_by, limit
         loop = asyncio.get_running_loop()
         call.delivery_timer = loop.call_at(deliver_by + MAX_TIMER_EARLY_S, self._check_delivery, call)
 
     def _check_delivery(self, call: Call) -> None:
         """Call off a call that is connecting, or whose request the transport or the kernel holds in part."""
-        transport = call.connection.writer.transport if call.connection else None
-        if transport and is_delivered(transport):
+        if call.ended or (call.connection and is_delivered(call.connection.writer.transport)):
             return
+        self._log_not_delivered(call)
+        self.cancel(call)
+
+    def _log_not_delivered(self, call: Call) -> None:
+        transport = call.connection.writer.transport if call.connection else None
         self.log.info(
             "request_not_delivered",
             address=call.address,
+            limit=call.limit.value,
             written=transport is not None,
             buffered=transport.get_write_buffer_size() if transport else 0,
             unacknowledged=unacknowledged_bytes(transport) if transport else 0,
             after_s=asyncio.get_running_loop().time() - call.started,
         )
-        self.cancel(call)
 
     def _overdue(self, call: Call) -> None:
         self._end(call, End.OVERDUE if self._sent(call) else End.OVERDUE_CONNECTING)
@@ -220,8 +228,11 @@
 
     def _write(self, connection: Connection, call: Call) -> None:
         loop = asyncio.get_running_loop()
-        is_late = loop.time() >= call.deliver_by
-        if is_late or (payload := call.build_payload()) is None:
+        if loop.time() >= call.deliver_by:
+            self._close(connection)
+            loop.call_soon(self._check_delivery, call)
+            return
+        if (payload := call.build_payload()) is None:
             self._close(connection)  # the address may belong to another process by now
             loop.call_soon(self._end, call, End.CALLED_OFF_CONNECTING)
             return
--- a/otterquay/agent/exchange.py
+++ b/otterquay/agent/exchange.py
@@ -24,6 +24,14 @@
     CLOSED = 2
 
 
+class DeliveryLimit(Enum):
+    """What a request has to be delivered before."""
+
+    REPEAT_WINDOW = "repeat_window"  # the end of the window in which a keyed request may be repeated
+    CLIENT_LEFT = "client_left"
+    CAP_FELL = "cap_fell"  # the cap of the server's build, since the attempt was decided
+
+
 @dataclass(slots=True, eq=False)
 class Call:
     """One exchange with an appliance; `done` is called exactly once, with the end and the answer, if any."""
@@ -36,6 +44,7 @@
     connection: Connection | None = None
     timer: asyncio.TimerHandle | None = None
     deliver_by: float = math.inf
+    limit: DeliveryLimit = DeliveryLimit.REPEAT_WINDOW  # the reason of `deliver_by`
     delivery_timer: asyncio.TimerHandle | None = None  # set if `deliver_by` comes before the end of the call
     task: asyncio.Task[None] | None = None  # the pending connect
     use: ConnectionUse = ConnectionUse.REUSABLE  # of the connection that is being established for it
--- a/otterquay/agent/runtime.py
+++ b/otterquay/agent/runtime.py
@@ -17,6 +17,7 @@
 from otterquay import interface as it
 from otterquay.agent.attempts import Attempts, hash_idempotency_key
 from otterquay.agent.connection_pool import Pool
+from otterquay.agent.exchange import DeliveryLimit
 from otterquay.agent.lifecycle import OpenRequest, Phase
 from otterquay.agent.outcomes import End
 from otterquay.agent.ports import ClientRequest, FinalAnswer, Requester
@@ -211,7 +212,7 @@
             self._forget(open_request)
             self.post(it.Abandoned(number))
             for attempt in list(open_request.open_attempts.values()):
-                self.pool.withhold(attempt.call)
+                self.pool.withhold(attempt.call, DeliveryLimit.CLIENT_LEFT)
 
     def _forget(self, open_request: OpenRequest) -> None:
         if open_request.client is None and not open_request.open_attempts:
--- a/tests/crossings/test_appliances.py
+++ b/tests/crossings/test_appliances.py
@@ -9,6 +9,7 @@
 import pytest
 
 from otterquay.agent.connection_pool import MAX_REUSE_IDLE_S
+from otterquay.agent.exchange import DeliveryLimit
 from otterquay.agent.outcomes import End
 from otterquay.agent.sockets import has_unread_data
 from otterquay.standins.resp import served
@@ -145,7 +146,7 @@
         conn = await calls.answered(plain)
         big = b"*1\r\n$9000000\r\n" + b"x" * 9_000_000 + b"\r\n"  # more than the kernel takes at once
         call = calls.call(plain.address, big)
-        calls.pool.withhold(call)
+        calls.pool.withhold(call, DeliveryLimit.CLIENT_LEFT)
         assert calls.ends == [End.ANSWER, End.CALLED_OFF_CONNECTING] and not calls.pool.open
         got = 0
         conn.setblocking(False)
--- a/tests/crossings/test_delivery.py
+++ b/tests/crossings/test_delivery.py
@@ -6,16 +6,18 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 import sys
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
+from typing import Any
 
 import pytest
 
 from otterquay import interface as it
 from otterquay.agent import sockets
-from otterquay.agent.exchange import Call
+from otterquay.agent.exchange import Call, DeliveryLimit
 from otterquay.agent.outcomes import End
 from otterquay.agent.sockets import is_delivered
 from otterquay.standins.resp import served
@@ -239,7 +241,7 @@
     async def work() -> None:
         async with half_written(payload) as (calls, call, conn):
             calls.pool.appliance_protocol.runs_when_whole = runs_when_whole
-            calls.pool._limit_delivery(call, asyncio.get_running_loop().time() + LIMIT_S)
+            calls.pool._limit_delivery(call, asyncio.get_running_loop().time() + LIMIT_S, DeliveryLimit.CAP_FELL)
             await until(lambda: calls.ends)
             assert asyncio.get_running_loop().time() >= call.deliver_by
             assert await read_all(conn) < len(payload) and calls.ends == [end]
@@ -440,3 +442,35 @@
             one.close()
 
     run(work)
+
+
+class LogOfPool:
+    """Keeps the limits that the lines about requests which were not delivered name."""
+
+    def __init__(self) -> None:
+        self.limits: list[str] = []
+
+    def info(self, event: str, **fields: Any) -> None:
+        """Kept if it is about such a request."""
+        if event == "request_not_delivered":
+            self.limits.append(fields["limit"])
+
+
+@pytest.mark.parametrize("limit", DeliveryLimit)
+@pytest.mark.parametrize("loop", LOOPS)
+def test_the_log_tells_which_limit_called_off_an_attempt_that_connects(limit: DeliveryLimit, loop: str) -> None:
+    """Guards against a log that cannot tell a cap that fell from a client that left or a window that ended."""
+
+    async def work() -> None:
+        calls, plain = PoolCalls(), BlockingAppliance()
+        log = calls.pool.log = LogOfPool()  # type: ignore[assignment]
+        is_window = limit is DeliveryLimit.REPEAT_WINDOW
+        call = calls.call(plain.address, limit_s=0.0 if is_window else math.inf)
+        if not is_window:
+            calls.pool.withhold(call, limit)
+        await until(lambda: calls.ends)
+        assert calls.ends == [End.CALLED_OFF_CONNECTING]
+        assert log.limits == [limit.value]  # type: ignore[attr-defined]
+        plain.close()
+
+    run(work, loop)
