--- a/otterquay/lab/cluster/day.py
+++ b/otterquay/lab/cluster/day.py
@@ -67,7 +67,10 @@
 
 
 class ClusterDay(Block):
-    """A whole day. `rate` is in requests per second over all agents; the auditor checks the five rules on them."""
+    """A whole day, whose times count from when all agents have joined the group.
+
+    `rate` is in requests per second over all agents; the auditor checks the five rules on them.
+    """
 
     duration: Duration
     rest: Duration = 60000.0
