Rule checker: the time of delivery has no default

Cause: its only caller always gives it; with the default a forgotten one would pass as unlimited.

Change: the parameter is required. Result: 24 tests of test_orders and test_invariants pass.

--- a/tests/rule_checker.py
+++ b/tests/rule_checker.py
@@ -118,9 +118,7 @@
         if not harmless and any(a.status not in UNRUN for a in record.attempts):
             raise RuleViolation(EFFECTS, "a refusal of a request that may have run")
 
-    def _send(
-        self, now: float, record: RequestRecord, server: int, until: float, deliver_by: float = math.inf
-    ) -> None:
+    def _send(self, now: float, record: RequestRecord, server: int, until: float, deliver_by: float) -> None:
         config, entry = self.config, self.listed[server]
         if record.final_answers or now >= record.deadline:
             raise RuleViolation(ANSWERED, "a send for a request that is over")
