--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -397,10 +397,12 @@
             await asyncio.sleep(self.apart_s)
 
 
-def free_port() -> int:
+def free_address(number: int) -> str:
+    """A loopback address of its own for an agent, so that no outgoing connection takes its port meanwhile."""
+    host = f"127.{os.getpid() // 250 % 200 + 20}.{os.getpid() % 250 + 1}.{number + 1}"
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
 
 
 class AgentProcess:
@@ -416,7 +418,7 @@
     ) -> None:
         self.record, self.folder = record, Path(tempfile.mkdtemp(prefix="case-"))
         self.name = f"n{agent_settings['myNumber']}"
-        self.listen = f"127.0.0.1:{free_port()}"
+        self.listen = free_address(agent_settings["myNumber"])
         build, stage, mode, cap = platform.state
         self.config = {
             "name": self.name,
